--- /dev/null
+++ b/src/main/java/io/kelphoist/cloud/CloudClient.java
@@ -0,0 +1,141 @@
+package io.kelphoist.cloud;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.core.CloudMachine;
+import io.kelphoist.core.MachineType;
+import io.kelphoist.core.Rental;
+import io.kelphoist.state.RateGate;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import io.kelphoist.wire.Codec;
+import io.kelphoist.wire.HttpCaller;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The cloud by its protocol, within its limit of requests; renting and returning go before listing. */
+public final class CloudClient {
+    private static final Logger LOG = LoggerFactory.getLogger(CloudClient.class);
+    private static final int TIMEOUT_MS = 4000;
+    private static final int PAGE = 500;
+
+    /** Takes the outcome of a rental: names; or none and whether that is for lack of capacity. */
+    public interface Rented {
+        void on(List<String> names, boolean refused);
+    }
+
+    private final HttpCaller calls;
+    private final StateClient.Loop loop;
+    private final RateGate gate;
+
+    public CloudClient(HttpCaller calls, StateClient.Loop loop, double rps) {
+        this.calls = calls;
+        this.loop = loop;
+        this.gate = new RateGate(rps * 0.9, 2);
+    }
+
+    /** Null: no answer that can be used. */
+    public void types(Consumer<List<MachineType>> handler) {
+        if (!gate.take(1, loop.now())) {
+            handler.accept(null);
+            return;
+        }
+        calls.call("GET", "/flavors", null, TIMEOUT_MS, reply -> {
+            ObjectNode body = body(reply);
+            List<MachineType> types = null;
+            try {
+                types = body == null ? null : Codec.types(body);
+            } catch (BadMessage e) {
+                LOG.warn("machine types: {}", e.getMessage());
+            }
+            handler.accept(types);
+        });
+    }
+
+    public void rent(Rental rental, Rented handler) {
+        double wait = gate.waitFor(1, loop.now());
+        if (!gate.take(1, loop.now())) {
+            loop.after(wait + 0.01, () -> rent(rental, handler));
+            return;
+        }
+        calls.call("POST", "/rentals", Cbor.encode(Codec.rental(rental)), TIMEOUT_MS, reply -> {
+            ObjectNode body = body(reply);
+            if (body != null) {
+                try {
+                    handler.on(Codec.names(body), false);
+                    return;
+                } catch (BadMessage e) {
+                    LOG.warn("rental {}: {}", rental.name(), e.getMessage());
+                }
+            }
+            handler.on(null, noCapacity(reply));
+        });
+    }
+
+    private static boolean noCapacity(HttpCaller.Reply reply) {
+        if (!(reply instanceof HttpCaller.Answer a)) {
+            return false;
+        }
+        if (a.status() == 400) {
+            return true;
+        }
+        try {
+            return a.status() == 503 && Cbor.decode(a.body()).path("error").asText().equals("no capacity");
+        } catch (BadMessage e) {
+            return false;
+        }
+    }
+
+    public void giveBack(List<String> names, Consumer<Boolean> handler) {
+        if (!gate.take(1, loop.now())) {
+            handler.accept(false);
+            return;
+        }
+        calls.call("POST", "/rentals/return", Cbor.encode(Codec.names(names)), TIMEOUT_MS,
+                reply -> handler.accept(reply instanceof HttpCaller.Answer a && a.status() == 200));
+    }
+
+    /** The whole list, or null. */
+    public void list(Consumer<List<CloudMachine>> handler) {
+        page("", new ArrayList<>(), handler);
+    }
+
+    private void page(String after, List<CloudMachine> found, Consumer<List<CloudMachine>> handler) {
+        if (gate.waitFor(2, loop.now()) > 0 || !gate.take(1, loop.now())) {
+            handler.accept(null);
+            return;
+        }
+        calls.call("GET", "/rentals?limit=" + PAGE + (after.isEmpty() ? "" : "&after=" + after), null, TIMEOUT_MS, reply -> {
+            ObjectNode body = body(reply);
+            if (body == null) {
+                handler.accept(null);
+                return;
+            }
+            try {
+                found.addAll(Codec.list(body));
+                if (Codec.more(body) && !found.isEmpty()) {
+                    page(found.get(found.size() - 1).name(), found, handler);
+                } else {
+                    handler.accept(found);
+                }
+            } catch (BadMessage e) {
+                LOG.warn("machine list: {}", e.getMessage());
+                handler.accept(null);
+            }
+        });
+    }
+
+    private static ObjectNode body(HttpCaller.Reply reply) {
+        if (reply instanceof HttpCaller.Answer a && a.status() == 200) {
+            try {
+                return Cbor.decode(a.body());
+            } catch (BadMessage e) {
+                LOG.warn("the cloud sent something {}", e.getMessage());
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -0,0 +1,45 @@
+package io.kelphoist.config;
+
+import com.google.protobuf.TextFormat;
+import io.kelphoist.config.proto.Operator;
+import io.kelphoist.core.Policy;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The operators' own settings: protobuf text format, all optional. */
+public record OperatorSettings(int leaderLeaseMs, int grantMs, double offerS, double localityWaitS, double machineHoldS,
+                               double gangHoldS, double headroom, double idleS) {
+    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 2500, 5, 3, 20, 15, 0.10, 40);
+
+    /** Unknown fields are ignored; wrong ones are named. */
+    public static OperatorSettings read(Path file) throws Settings.Invalid {
+        Operator.Builder b = Operator.newBuilder();
+        try {
+            TextFormat.Parser.newBuilder().setAllowUnknownFields(true).build().merge(Files.readString(file), b);
+        } catch (TextFormat.ParseException e) {
+            throw new Settings.Invalid(file.toString(), "line " + e.getLine(), e.getMessage());
+        } catch (IOException e) {
+            throw new Settings.Invalid(file.toString(), "", "can't be read");
+        }
+        Operator o = b.build();
+        String f = file.toString();
+        return new OperatorSettings((int) range(f, "leader_lease_ms", o.getLeaderLeaseMs(), 500, 60_000),
+                (int) range(f, "grant_ms", o.getGrantMs(), 500, 60_000),
+                range(f, "offer_s", o.getOfferS(), 0.1, 600), range(f, "locality_wait_s", o.getLocalityWaitS(), 1, 5),
+                range(f, "machine_hold_s", o.getMachineHoldS(), 0, 600), range(f, "gang_hold_s", o.getGangHoldS(), 0, 600),
+                range(f, "headroom", o.getHeadroom(), 0, 10), range(f, "idle_s", o.getIdleS(), 0, 3600));
+    }
+
+    private static double range(String file, String field, double v, double least, double most) throws Settings.Invalid {
+        if (!(v >= least && v <= most)) {
+            throw new Settings.Invalid(file, field, v + " is not within " + least + " to " + most);
+        }
+        return v;
+    }
+
+    public Policy policy(Settings s) {
+        return new Policy(s.zones(), s.teams(), s.workers().reportS(), s.workers().leaseS(), s.workers().gangWaitS(),
+                s.workers().gangPeerS(), s.workers().cancelS(), offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -0,0 +1,108 @@
+package io.kelphoist.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Offers freed room to the team farthest below its guarantee-weighted dominant share, never past its limit; that
+ * team's scheduler for the job's kind takes what it wants.
+ */
+final class Allocator {
+    /** Starts per run; what is left over goes on in the next one, so that one run never takes long. */
+    private static final int MOST_STARTS = 200;
+    static final Comparator<Job> TEAM_ORDER = Comparator
+            .comparing((Job j) -> j.spec.priority()).reversed()
+            .thenComparingDouble(Job::deadline)
+            .thenComparingDouble(j -> j.acceptedAt);
+
+    private final Cluster cluster;
+    private final GangScheduler gangs;
+    private final Map<JobKind, KindScheduler> schedulers = new EnumMap<>(JobKind.class);
+    private final Preemption preemption;
+    private List<Job> unplaced = List.of();
+
+    Allocator(Cluster cluster) {
+        this.cluster = cluster;
+        gangs = new GangScheduler(cluster);
+        schedulers.put(JobKind.ARRAY, new ArrayScheduler(cluster));
+        schedulers.put(JobKind.GANG, gangs);
+        schedulers.put(JobKind.SERVICE, new ServiceScheduler(cluster));
+        preemption = new Preemption(cluster);
+    }
+
+    /** Jobs with work that found no room in the last run, in the order in which they should get some. */
+    List<Job> unplaced() {
+        return unplaced;
+    }
+
+    void run(double now) {
+        gangs.releaseStale(now);
+        Map<TeamState, List<Job>> waiting = new HashMap<>();
+        for (Job job : cluster.jobs.values()) {
+            if (job.active() && !job.pending.isEmpty() && now >= job.retryAt) {
+                waiting.computeIfAbsent(job.team, k -> new ArrayList<>()).add(job);
+            }
+        }
+        List<Job> left = new ArrayList<>();
+        if (!waiting.isEmpty()) {
+            waiting.values().forEach(jobs -> jobs.sort(TEAM_ORDER));
+            List<Machine> machines = new ArrayList<>();
+            Resources total = Resources.NONE;
+            for (Machine m : cluster.machines.values()) {
+                if (m.takesWork(now)) {
+                    machines.add(m);
+                    total = total.plus(m.type.capacity());
+                }
+            }
+            offer(waiting, machines, total, left, now);
+            left.sort(TEAM_ORDER);
+        }
+        unplaced = left;
+        preemption.run(left, now);
+    }
+
+    private void offer(Map<TeamState, List<Job>> waiting, List<Machine> machines, Resources total, List<Job> left, double now) {
+        Set<TeamState> open = new HashSet<>(waiting.keySet());
+        int starts = 0;
+        while (!open.isEmpty() && starts < MOST_STARTS) {
+            TeamState team = null;
+            double least = Double.POSITIVE_INFINITY;
+            for (TeamState t : open) {
+                double share = t.weightedShare(total);
+                if (team == null || share < least) {
+                    team = t;
+                    least = share;
+                }
+            }
+            if (accept(new Offer(team, machines, now), waiting.get(team), left)) {
+                starts++;
+            } else {
+                open.remove(team);
+            }
+        }
+        waiting.values().forEach(left::addAll);
+    }
+
+    /** Asks the team's schedulers, most urgent job first. Within a run room only shrinks, so a no stands. */
+    private boolean accept(Offer offer, List<Job> jobs, List<Job> left) {
+        for (Iterator<Job> i = jobs.iterator(); i.hasNext();) {
+            Job job = i.next();
+            if (schedulers.get(job.spec.kind()).consider(offer, job)) {
+                if (job.pending.isEmpty()) {
+                    i.remove();
+                }
+                return true;
+            }
+            i.remove();
+            left.add(job);
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -0,0 +1,773 @@
+package io.kelphoist.core;
+
+import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader's view of one term: jobs, machines and what may run where. Input events with their time come in,
+ * effects go out; there is no I/O and no clock here. One thread calls it.
+ */
+public final class Cluster {
+    /** How a direct order ended. */
+    public enum OrderOutcome {
+        /** 200. */
+        EXECUTED,
+        /** 409: nothing executed. */
+        REFUSED,
+        /** The connection never came about, so it cannot arrive late. */
+        NOT_SENT,
+        /** No answer: may be executed minutes later. */
+        UNANSWERED
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
+    /** Beyond the lease, for the steps in which timers fire. */
+    private static final double TIMER_MARGIN_S = 0.25;
+
+    final Policy policy;
+    final Effects effects;
+    final long term;
+    final double startedAt;
+    final Index zones = new Index();
+    final Index images = new Index();
+    private final DoubleArrayList imageGb = new DoubleArrayList();
+    final Map<String, MachineType> types = new LinkedHashMap<>();
+    final Map<String, TeamState> teams = new LinkedHashMap<>();
+    final Object2ObjectOpenHashMap<String, Job> jobs = new Object2ObjectOpenHashMap<>();
+    final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
+    /** Machines that were confirmed gone. Names are never used twice, late messages of them mean nothing. */
+    private final Object2ObjectOpenHashMap<String, Boolean> gone = new Object2ObjectOpenHashMap<>();
+    private final Map<Machine, List<Command>> outbox = new LinkedHashMap<>();
+    private final Allocator allocator;
+    private final Fleet fleet;
+    private long attempts;
+    private boolean recovered;
+    private boolean deposed;
+
+    public Cluster(Policy policy, Effects effects, long term, Collection<MachineType> types, double now) {
+        this.policy = policy;
+        this.effects = effects;
+        this.term = term;
+        this.startedAt = now;
+        policy.zones().forEach(zones::of);
+        policy.teams().forEach(t -> teams.put(t.name(), new TeamState(t)));
+        setTypes(types);
+        allocator = new Allocator(this);
+        fleet = new Fleet(this);
+    }
+
+    public void setTypes(Collection<MachineType> list) {
+        for (MachineType t : list) {
+            types.put(t.name(), t);
+            t.zones().forEach(zones::of);
+        }
+    }
+
+    // ---- what others ask ----
+
+    public Collection<Job> jobs() {
+        return jobs.values();
+    }
+
+    public Collection<Machine> machines() {
+        return machines.values();
+    }
+
+    /** True once somebody was seen to hold a higher term. */
+    public boolean deposed() {
+        return deposed;
+    }
+
+    /** True once every machine that may run tasks of an earlier term has reported or surely lost its lease. */
+    public boolean recovered() {
+        return recovered;
+    }
+
+    public String zoneName(int zone) {
+        return zones.name(zone);
+    }
+
+    double gbOf(int image) {
+        return imageGb.getDouble(image);
+    }
+
+    // ---- jobs ----
+
+    /** A job's record as read or changed at the state service. */
+    public void onJob(JobRecord record, double ageS, double now) {
+        Job job = jobs.get(record.id());
+        if (job == null) {
+            if (record.status().isFinal() || record.spec() == null) {
+                return;
+            }
+            TeamState team = teams.get(record.spec().team());
+            if (team == null) {
+                LOG.warn("job {}: its team {} is not in the settings any more", record.id(), record.spec().team());
+                return;
+            }
+            int image = images.of(record.spec().image());
+            if (image == imageGb.size()) {
+                imageGb.add(record.spec().imageGb());
+            }
+            jobs.put(record.id(), new Job(record.spec(), team, image, zones, now - ageS, record.version(), now));
+            return;
+        }
+        if (record.version() < job.version) {
+            return;
+        }
+        job.version = record.version();
+        if (record.status() == JobStatus.CANCELLED && job.to(Job.State.CANCELLED)) {
+            LOG.info("job {} cancelled, {} tasks to stop", job.spec.id(), job.at.size());
+            for (Placement p : new ArrayList<>(job.at.values())) {
+                stop(p, 0, now);
+            }
+            settleFinal(job);
+        } else if (record.status() == JobStatus.DONE && job.to(Job.State.DONE)) {
+            LOG.info("job {} done after {} s", job.spec.id(), Math.round(now - job.acceptedAt));
+            settleFinal(job);
+        }
+    }
+
+    private void settleFinal(Job job) {
+        if (job.at.isEmpty()) {
+            jobs.remove(job.spec.id());
+        }
+    }
+
+    /** Done tasks as an earlier term stored them. */
+    public void onProgressLoaded(String id, BitSet done) {
+        Job job = jobs.get(id);
+        if (job != null) {
+            job.done.or(done);
+            job.pending.andNot(done);
+            job.storedDone = job.doneCount();
+        }
+    }
+
+    public void onProgressStored(String id, int count) {
+        Job job = jobs.get(id);
+        if (job != null) {
+            job.storing = false;
+            job.storedDone = Math.max(job.storedDone, count);
+        }
+    }
+
+    /** The write did not happen or is unsure; it is made again. */
+    public void onStoreFailed(String id) {
+        Job job = jobs.get(id);
+        if (job != null) {
+            job.storing = false;
+            job.progressDirty = true;
+        }
+    }
+
+    // ---- machines ----
+
+    /** A machine as an earlier term recorded it. */
+    public void onMachineLoaded(String name, String address, String type, String zone, boolean spot, boolean mayRun, double now) {
+        MachineType t = types.get(type);
+        if (t == null || machines.containsKey(name)) {
+            return;
+        }
+        Machine m = new Machine(name, address, t, zones.of(zone), spot, mayRun ? Machine.State.JOINING : Machine.State.BOOTING, now);
+        m.mayRun = mayRun;
+        m.recorded = mayRun;
+        machines.put(name, m);
+    }
+
+    public void onMachineStored(String name, boolean stored) {
+        Machine m = machines.get(name);
+        if (m != null) {
+            m.recording = false;
+            m.recorded |= stored;
+        }
+    }
+
+    /**
+     * A worker's report. The answer's commands are in the order in which the worker must execute them.
+     * Only answers to reports carry forgets: a worker handles one answer after the other, so no start that was
+     * decided earlier can come after one. Null: the report must not be answered as accepted, so that a session
+     * that counts as over can not be kept alive.
+     */
+    public List<Command> onReport(MachineReport report, double now) {
+        Machine m = ingest(report, now);
+        if (m == null) {
+            return null;
+        }
+        m.lastAnswer = now;
+        m.lastReport = now;
+        if (!m.state().reports() && m.state() != Machine.State.RETURNING) {
+            return List.of();
+        }
+        return commandsFor(m, report, now);
+    }
+
+    /** Takes in a report that came by itself or as the answer to an order. Null: it means nothing. */
+    private Machine ingest(MachineReport report, double now) {
+        if (report.token() > term) {
+            if (!deposed) {
+                LOG.info("machine {} has seen term {}, ours is {}", report.machine(), report.token(), term);
+            }
+            deposed = true;
+            return null;
+        }
+        Machine m = machines.get(report.machine());
+        if (m == null) {
+            m = adopt(report, now);
+            if (m == null) {
+                return null;
+            }
+        }
+        if (report.session() <= m.deadSession) {
+            return null;
+        }
+        if (!report.newerThan(m.session, m.seq)) {
+            return m;
+        }
+        if (report.session() > m.session) {
+            endSession(m, report.session(), now);
+        }
+        m.session = report.session();
+        m.seq = report.seq();
+        m.address = report.address();
+        if (report.token() < term) {
+            m.lastReport = now;
+            return m;
+        }
+        if (m.state() == Machine.State.BOOTING || m.state() == Machine.State.JOINING || m.state() == Machine.State.LOST) {
+            if (m.state() == Machine.State.BOOTING) {
+                LOG.info("machine {} ({}, {}{}) is up after {} s", m.name, m.type.name(), zones.name(m.zone), m.spot ? ", spot" : "",
+                        Math.round(now - m.rentedAt));
+            }
+            m.to(Machine.State.UP, now);
+        }
+        m.lastReport = now;
+        if (report.noticeS() != null && m.takenAt == Double.POSITIVE_INFINITY) {
+            m.takenAt = now + report.noticeS();
+            LOG.info("machine {} will be taken in {} s", m.name, report.noticeS());
+        }
+        record(m);
+        match(m, report, now);
+        return m;
+    }
+
+    private void record(Machine m) {
+        if (m.state().reports() && !m.recorded && !m.recording) {
+            m.recording = true;
+            m.mayRun = true;
+            effects.storeMachine(m);
+        }
+    }
+
+    private Machine adopt(MachineReport report, double now) {
+        MachineType t = types.get(report.type());
+        if (gone.containsKey(report.machine()) || t == null) {
+            return null;
+        }
+        Machine m = new Machine(report.machine(), report.address(), t, zones.of(report.zone()), report.spot(), Machine.State.JOINING, now);
+        LOG.info("machine {} adopted from its report", m.name);
+        machines.put(m.name, m);
+        return m;
+    }
+
+    private void endSession(Machine m, long next, double now) {
+        for (Placement p : new ArrayList<>(m.placements)) {
+            if (p.session < next) {
+                vanish(p, now);
+            }
+        }
+        if (m.session > 0) {
+            LOG.info("machine {} is in session {}, what ran before is over", m.name, next);
+        }
+    }
+
+    private void match(Machine m, MachineReport report, double now) {
+        for (TaskReport t : report.tasks()) {
+            Placement p = find(m, t);
+            if (p == null) {
+                p = adoptTask(m, t, report.session(), now);
+            }
+            if (p != null) {
+                advance(p, t, now);
+            }
+        }
+        for (Placement p : new ArrayList<>(m.placements)) {
+            boolean listed = false;
+            for (TaskReport t : report.tasks()) {
+                listed |= p.is(t);
+            }
+            if (listed) {
+                continue;
+            }
+            if (p.state() == Placement.State.SENT) {
+                // Not there yet. A start in an answer is executed before the next report or never; an order
+                // without an answer may come at any time, so such an attempt stays until it shows up.
+                if (p.stopping() && !p.dangling && !p.inFlight) {
+                    vanish(p, now);
+                }
+            } else if (p.dangling || p.inFlight) {
+                LOG.warn("task {}/{} left the reports of {} while its order is open", p.job.spec.id(), p.task, m.name);
+            } else {
+                vanish(p, now);
+            }
+        }
+    }
+
+    private static Placement find(Machine m, TaskReport t) {
+        for (Placement p : m.placements) {
+            if (p.is(t)) {
+                return p;
+            }
+        }
+        return null;
+    }
+
+    /** A task that an earlier term started. Null: nobody knows its job, it is stopped and forgotten. */
+    private Placement adoptTask(Machine m, TaskReport t, long session, double now) {
+        Job job = jobs.get(t.job());
+        if (job == null || t.task() >= job.spec.tasks()) {
+            return null;
+        }
+        Placement p = new Placement(job, t.task(), t.attempt(), m, session, now);
+        m.placements.add(p);
+        if (t.phase() == TaskPhase.EXITED) {
+            return p;
+        }
+        boolean welcome = job.active() && !job.done.get(t.task()) && !job.at.containsKey(t.task())
+                && (job.spec.kind() != JobKind.GANG || job.at.isEmpty() || job.gangAttempt == t.attempt());
+        if (welcome && job.spec.kind() == JobKind.GANG) {
+            job.gangAttempt = t.attempt();
+        }
+        count(p);
+        if (!welcome) {
+            LOG.info("task {}/{} attempt {} on {} is not wanted", t.job(), t.task(), t.attempt(), m.name);
+            stop(p, 0, now);
+        }
+        return p;
+    }
+
+    /** Counts an attempt in: room, quota, zone. */
+    private void count(Placement p) {
+        p.counted = true;
+        p.machine.used = p.machine.used.plus(p.job.spec.perTask());
+        p.job.team.used = p.job.team.used.plus(p.job.spec.perTask());
+        p.job.perZone[p.machine.zone]++;
+        if (!p.job.at.containsKey(p.task)) {
+            p.job.at.put(p.task, p);
+            p.job.pending.clear(p.task);
+        }
+    }
+
+    private void uncount(Placement p, double now) {
+        if (!p.counted) {
+            return;
+        }
+        p.counted = false;
+        Job job = p.job;
+        p.machine.used = p.machine.used.minus(job.spec.perTask());
+        job.team.used = job.team.used.minus(job.spec.perTask());
+        job.perZone[p.machine.zone]--;
+        if (job.at.get(p.task) == p) {
+            job.at.remove(p.task);
+            if (job.active() && !job.done.get(p.task)) {
+                if (job.pending.isEmpty()) {
+                    job.waitingSince = now;
+                }
+                job.pending.set(p.task);
+            }
+            if (job.spec.kind() == JobKind.GANG && job.at.isEmpty()) {
+                job.gangAttempt = 0;
+                job.gangRan = false;
+            }
+        }
+        if (job.at.isEmpty() && (job.state() == Job.State.DONE || job.state() == Job.State.CANCELLED)) {
+            jobs.remove(job.spec.id());
+        }
+        if (job.runningCount() > 0 && p.runningSince == p.runningSince) {
+            job.running--;
+        }
+    }
+
+    private void vanish(Placement p, double now) {
+        if (p.state() == Placement.State.GONE) {
+            return;
+        }
+        p.to(Placement.State.GONE, p.exit(), now);
+        p.machine.placements.remove(p);
+        if (p.machine.placements.isEmpty()) {
+            p.machine.idleSince = now;
+        }
+        uncount(p, now);
+    }
+
+    private void advance(Placement p, TaskReport t, double now) {
+        Placement.State next = switch (t.phase()) {
+            case FETCHING -> Placement.State.FETCHING;
+            case WAITING -> Placement.State.WAITING;
+            case RUNNING -> Placement.State.RUNNING;
+            case SAVING -> Placement.State.SAVING;
+            case EXITED -> Placement.State.EXITED;
+        };
+        boolean ran = !Double.isNaN(p.runningSince);
+        if (!p.to(next, t.exit(), now)) {
+            return;
+        }
+        if (next != Placement.State.FETCHING && next != Placement.State.EXITED || t.exit() == ExitReason.DONE) {
+            p.machine.usedImage(p.job.image, p.job.spec.imageGb(), this::gbOf);
+        }
+        if (!ran && !Double.isNaN(p.runningSince)) {
+            p.job.running++;
+            p.job.gangRan = true;
+        }
+        if (next == Placement.State.EXITED) {
+            exited(p, t, now);
+        }
+    }
+
+    private void exited(Placement p, TaskReport t, double now) {
+        Job job = p.job;
+        LOG.debug("task {}/{} attempt {} on {} exited: {}", job.spec.id(), p.task, p.attempt, p.machine.name, t.exit());
+        if (t.exit() == ExitReason.DONE && job.active()) {
+            if (job.spec.kind() == JobKind.GANG) {
+                // A gang completes together.
+                job.done.set(0, job.spec.tasks());
+                job.pending.clear();
+            }
+            job.done.set(p.task);
+            job.pending.clear(p.task);
+            job.progressDirty = true;
+        }
+        uncount(p, now);
+        switch (t.exit()) {
+            case ERROR -> failed(p, now);
+            case NO_ROOM, BUSY, UNKNOWN, ALONE -> {
+                job.retryAt = Math.max(job.retryAt, now + (t.exit() == ExitReason.UNKNOWN ? 2.0 : 0.5));
+                if (t.exit() != ExitReason.ALONE) {
+                    LOG.info("machine {} refused {}/{}: {}", p.machine.name, job.spec.id(), p.task, t.exit());
+                }
+            }
+            default -> { }
+        }
+        if (job.spec.kind() == JobKind.GANG && job.active() && t.exit() != ExitReason.DONE && !job.at.isEmpty()) {
+            // The attempt is broken; all of it must be gone before the next one.
+            for (Placement other : new ArrayList<>(job.at.values())) {
+                if (!other.stopping()) {
+                    stop(other, job.gangRan ? job.spec.saveS() : 0, now);
+                }
+            }
+        }
+        if (job.active() && job.doneCount() == job.spec.tasks()) {
+            job.to(Job.State.FINISHING);
+        }
+    }
+
+    /** A task ended with an error: mostly the machine's fault, unless the job fails wherever it goes. */
+    private void failed(Placement p, double now) {
+        Job job = p.job;
+        Machine m = p.machine;
+        job.errors++;
+        if (!m.failedJobs.contains(job)) {
+            job.errorMachines++;
+            m.failedJobs.add(job);
+        }
+        job.retryAt = now + Math.min(60, 0.5 * Math.pow(2, Math.min(job.errors, 8)));
+        LOG.info("task {}/{} failed on {} ({} errors of the job)", job.spec.id(), p.task, m.name, job.errors);
+        long blamed = m.failedJobs.stream().filter(j -> !j.suspect()).count();
+        if (blamed >= 2 && m.state() == Machine.State.UP) {
+            LOG.warn("machine {} failed {} different jobs, it is drained and returned", m.name, blamed);
+            drain(m, now);
+        }
+    }
+
+    void drain(Machine m, double now) {
+        m.to(Machine.State.DRAINING, now);
+    }
+
+    /** Whether a worker may forget an exited attempt: its result is stored, and no order for it is open. */
+    private boolean forgettable(Placement p) {
+        if (p.dangling || p.inFlight) {
+            return false;
+        }
+        if (p.exit() != ExitReason.DONE) {
+            return true;
+        }
+        Job job = p.job;
+        return switch (job.state()) {
+            case DONE, CANCELLED -> true;
+            case FINISHING -> false;
+            case ACTIVE -> !job.progressDirty && !job.storing;
+        };
+    }
+
+    private List<Command> commandsFor(Machine m, MachineReport report, double now) {
+        List<Command> calls = new ArrayList<>();
+        for (Placement p : m.placements) {
+            String job = p.job.spec.id();
+            if (p.state() == Placement.State.EXITED) {
+                if (forgettable(p)) {
+                    calls.add(new Command.Forget(job, p.task, p.attempt));
+                }
+                continue;
+            }
+            // A wanted stop does not end an attempt that may yet arrive: it is started once more, and then stopped.
+            if (p.state() == Placement.State.SENT && (!p.stopping() || p.dangling || p.inFlight)) {
+                calls.add(new Command.Start(job, p.task, p.attempt));
+            }
+            if (p.stopping() && (p.state() != Placement.State.SENT || p.dangling || p.inFlight)) {
+                calls.add(new Command.Stop(job, p.task, p.attempt, p.stopGrace));
+            }
+        }
+        for (TaskReport t : report.tasks()) {
+            if (find(m, t) == null && !jobs.containsKey(t.job()) && report.newerThan(m.session, m.seq - 1)) {
+                calls.add(t.phase() == TaskPhase.EXITED
+                        ? new Command.Forget(t.job(), t.task(), t.attempt())
+                        : new Command.Stop(t.job(), t.task(), t.attempt(), 0));
+            }
+        }
+        outbox.remove(m);
+        return calls;
+    }
+
+    // ---- orders ----
+
+    /** Starts a task. Everything counts from here on. */
+    void start(Job job, int task, Machine m, long attempt, double now) {
+        Placement p = new Placement(job, task, attempt, m, m.session, now);
+        m.placements.add(p);
+        count(p);
+        LOG.debug("start {}/{} attempt {} on {}", job.spec.id(), task, attempt, m.name);
+        outbox.computeIfAbsent(m, k -> new ArrayList<>()).add(new Command.Start(job.spec.id(), task, attempt));
+    }
+
+    /** Attempts hold the term, so that no two of them are ever the same. */
+    long nextAttempt() {
+        return (term << 24) + ++attempts;
+    }
+
+    void stop(Placement p, double grace, double now) {
+        if (!p.state().occupies() || p.stopping() && p.stopGrace <= grace) {
+            return;
+        }
+        p.stopGrace = grace;
+        p.stopAt = now;
+        outbox.computeIfAbsent(p.machine, k -> new ArrayList<>())
+                .add(new Command.Stop(p.job.spec.id(), p.task, p.attempt, grace));
+    }
+
+    /** Sends what was decided straight to the workers, one order at a time each; the rest goes with answers. */
+    private void flush(double now) {
+        var entries = outbox.entrySet().iterator();
+        while (entries.hasNext()) {
+            var e = entries.next();
+            Machine m = e.getKey();
+            if (m.ordersInFlight || now < m.ordersRetryAt || !m.state().reports()) {
+                continue;
+            }
+            m.ordersInFlight = true;
+            for (Placement p : m.placements) {
+                if (p.state() == Placement.State.SENT) {
+                    p.inFlight = true;
+                }
+            }
+            List<Command> calls = e.getValue();
+            entries.remove();
+            effects.orders(m, m.session, List.copyOf(calls));
+        }
+    }
+
+    /** How a direct order ended; {@code report} is the worker's, where it sent one. */
+    public void onOrders(String machine, OrderOutcome outcome, MachineReport report, double now) {
+        Machine m = machines.get(machine);
+        if (m == null) {
+            return;
+        }
+        m.ordersInFlight = false;
+        for (Placement p : m.placements) {
+            if (p.inFlight) {
+                p.inFlight = false;
+                p.dangling |= outcome == OrderOutcome.UNANSWERED;
+            }
+        }
+        if (outcome == OrderOutcome.UNANSWERED || outcome == OrderOutcome.NOT_SENT) {
+            m.ordersRetryAt = now + policy.reportS() * 2;
+        }
+        if (report != null) {
+            ingest(report, now);
+        }
+    }
+
+    // ---- cloud ----
+
+    public void onCloudList(List<CloudMachine> list, double now) {
+        fleet.onList(list, now);
+    }
+
+    public void onRented(Rental rental, List<String> names, boolean refused, double now) {
+        fleet.onRented(rental, names, refused, now);
+    }
+
+    /** The cloud confirmed that these are gone, with all that was on them. */
+    public void onReturned(List<String> names, double now) {
+        fleet.onReturned();
+        for (String name : names) {
+            remove(name, now);
+        }
+    }
+
+    boolean knownGone(String name) {
+        return gone.containsKey(name);
+    }
+
+    /** A machine stopped for good: its tasks are gone with it. */
+    void stopped(Machine m, double now) {
+        m.deadSession = Long.MAX_VALUE;
+        for (Placement p : new ArrayList<>(m.placements)) {
+            vanish(p, now);
+        }
+        outbox.remove(m);
+    }
+
+    /** The return is unsure; it is asked for again. */
+    public void onReturnFailed(double now) {
+        fleet.onReturnFailed(now);
+    }
+
+    void remove(String name, double now) {
+        gone.put(name, true);
+        Machine m = machines.remove(name);
+        if (m != null) {
+            m.to(Machine.State.GONE, now);
+            for (Placement p : new ArrayList<>(m.placements)) {
+                vanish(p, now);
+            }
+            outbox.remove(m);
+            if (m.recorded || m.recording || m.mayRun) {
+                effects.dropMachine(name);
+            }
+        }
+    }
+
+    // ---- time ----
+
+    /** Runs what time alone brings about, and then the allocation. Call it often, and after input. */
+    public void tick(double now) {
+        for (Machine m : new ArrayList<>(machines.values())) {
+            expire(m, now);
+            notice(m, now);
+            record(m);
+            if (m.heldFor != null && (now >= m.heldUntil || !m.heldFor.active() || m.heldFor.pending.isEmpty())) {
+                m.heldFor = null;
+            }
+        }
+        escalate(now);
+        for (Job job : new ArrayList<>(jobs.values())) {
+            store(job);
+        }
+        if (!recovered) {
+            recovered = recover(now);
+        }
+        if (recovered) {
+            allocator.run(now);
+            fleet.run(allocator.unplaced(), now);
+        }
+        flush(now);
+    }
+
+    private boolean recover(double now) {
+        for (Machine m : machines.values()) {
+            if (m.mayRun && m.state() == Machine.State.JOINING) {
+                return false;
+            }
+        }
+        LOG.info("term {}: take-over complete after {} s, {} machines, {} jobs", term, Math.round((now - startedAt) * 10) / 10.0,
+                machines.size(), jobs.size());
+        return true;
+    }
+
+    /**
+     * A worker's lease runs from when the last answered report was sent, which is before we answered it. When that
+     * is over, whatever the machine does, its tasks are gone.
+     */
+    private void expire(Machine m, double now) {
+        boolean watched = m.state().reports() || m.state() == Machine.State.JOINING || m.state() == Machine.State.RETURNING;
+        if (!watched || now < m.lastAnswer + policy.leaseS() * (1 + 2 * Policy.DRIFT) + TIMER_MARGIN_S) {
+            return;
+        }
+        if (m.state() == Machine.State.RETURNING && m.placements.isEmpty()) {
+            return;
+        }
+        LOG.info("machine {} is silent since {} s, its lease is over, {} tasks with it", m.name,
+                Math.round(now - m.lastReport), m.placements.size());
+        m.deadSession = Math.max(m.deadSession, m.session);
+        for (Placement p : new ArrayList<>(m.placements)) {
+            vanish(p, now);
+        }
+        outbox.remove(m);
+        if (m.to(Machine.State.LOST, now)) {
+            // Nothing runs there, so the next term need not wait for it either.
+            effects.dropMachine(m.name);
+            m.recorded = false;
+            m.mayRun = false;
+            m.forgetImages();
+        }
+    }
+
+    /** Stops what can save before the cloud takes the machine, as late as is safe. */
+    private void notice(Machine m, double now) {
+        if (m.takenAt == Double.POSITIVE_INFINITY) {
+            return;
+        }
+        for (Placement p : new ArrayList<>(m.placements)) {
+            JobSpec spec = p.job.spec;
+            boolean saves = spec.checkpoints() && spec.saveS() < m.takenAt - now;
+            boolean last = now > m.takenAt - spec.saveS() - 2 * policy.reportS();
+            if (p.state().occupies() && !p.stopping() && (last || spec.kind() == JobKind.SERVICE)) {
+                if (spec.kind() == JobKind.GANG) {
+                    stopGang(p.job, saves ? spec.saveS() : 0, now);
+                } else if (saves || !spec.checkpoints()) {
+                    stop(p, saves ? spec.saveS() : 0, now);
+                }
+            }
+        }
+    }
+
+    void stopGang(Job job, double grace, double now) {
+        for (Placement p : new ArrayList<>(job.at.values())) {
+            stop(p, grace, now);
+        }
+    }
+
+    /** A task that should have saved long ago is stopped for good. */
+    private void escalate(double now) {
+        for (Machine m : machines.values()) {
+            for (Placement p : m.placements) {
+                if (p.stopping() && p.stopGrace > 0 && p.state().occupies() && now > p.stopAt + p.stopGrace + policy.gangPeerS() + 5) {
+                    stop(p, 0, now);
+                }
+            }
+        }
+    }
+
+    private void store(Job job) {
+        if (job.storing) {
+            return;
+        }
+        if (job.state() == Job.State.FINISHING) {
+            job.storing = true;
+            job.progressDirty = false;
+            effects.storeDone(job.spec.id(), job.version, job.spec.tasks());
+        } else if (job.active() && job.progressDirty) {
+            job.storing = true;
+            job.progressDirty = false;
+            effects.storeProgress(job.spec.id(), (BitSet) job.done.clone(), job.spec.tasks());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Election.java
@@ -0,0 +1,240 @@
+package io.kelphoist.core;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who may act. The leader's key hangs on a short lease at the state service. A leader may act while that lease is
+ * surely alive, or while all other controllers have said recently that they will not lead, so that an outage of the
+ * state service does not end the workers' leases. A candidate first stops saying so and lets its own word lapse,
+ * also after a start, as it remembers nothing. Pure: events and time (steady clock, seconds) in, {@link Actions} out.
+ */
+public final class Election {
+    /** Named states; {@link #to} is the one place where they change. */
+    public enum State {
+        FOLLOWER,
+        /** Saw no leader; gives no grants and waits until its last one has lapsed. */
+        CANDIDATE,
+        /** Asked the state service for the key. */
+        TAKING,
+        /** Holds the key; may act while {@link #mayAct}. */
+        LEADER
+    }
+
+    /** What the election asks for. */
+    public interface Actions {
+        /** Get a lease of this length, check the keys, take them; ends in {@link #onTaken} or {@link #onTakeFailed}. */
+        void take();
+
+        void renew(long lease);
+
+        void release(long lease);
+
+        void askForGrant(String peer, long term, double sentAt);
+
+        void began(long term);
+
+        void ended();
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+    private static final double MARGIN_S = 0.05;
+    private static final double COOL_S = 15;
+
+    private final String self;
+    private final List<String> peers;
+    private final double leaseS;
+    private final double grantS;
+    private final Actions actions;
+    private State state = State.FOLLOWER;
+    private long term;
+    private long lease;
+    private double leaseUntil;
+    private final Map<String, Double> grants = new HashMap<>();
+    private double lastGranted;
+    private double nextRenew;
+    private double nextAsk;
+    private double notBefore;
+    private boolean known;
+    private String leader;
+    private long leaderTerm;
+    private boolean everLed = true;
+    private boolean mayActBefore;
+
+    public Election(String self, List<String> peers, double leaseS, double grantS, double startedAt, Actions actions) {
+        this.self = self;
+        this.peers = List.copyOf(peers);
+        this.leaseS = leaseS;
+        this.grantS = grantS;
+        this.actions = actions;
+        // An earlier life may have granted up to its end.
+        this.lastGranted = startedAt;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    /** The leader that the state service last named; null: none or unknown. */
+    public String leader() {
+        return state == State.LEADER ? self : leader;
+    }
+
+    public long term() {
+        return term;
+    }
+
+    public boolean mayAct(double now) {
+        return state == State.LEADER && (now < leaseUntil || granted(now));
+    }
+
+    private boolean granted(double now) {
+        for (String peer : peers) {
+            if (now >= grants.getOrDefault(peer, 0.0)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void to(State next, double now) {
+        if (state == next) {
+            return;
+        }
+        LOG.debug("election: {} -> {}", state, next);
+        State before = state;
+        state = next;
+        if (before == State.LEADER) {
+            leaseUntil = 0;
+            grants.clear();
+            actions.ended();
+        }
+        if (next == State.LEADER) {
+            nextRenew = now + leaseS / 4;
+            nextAsk = now;
+            actions.began(term);
+        }
+    }
+
+    /** What the state service says: the leader key's holder (null: absent) and the last term (0: there never was one). */
+    public void onKeys(String holder, long holderTerm, long lastTerm, double now) {
+        known = true;
+        leader = holder;
+        leaderTerm = holderTerm;
+        everLed = lastTerm > 0;
+        if (state == State.LEADER && (holder == null || !holder.equals(self) || holderTerm != term)) {
+            LOG.info("term {}: the leader key is {}", term, holder == null ? "gone" : "held by " + holder + " for term " + holderTerm);
+            to(State.FOLLOWER, now);
+        } else if (state == State.CANDIDATE && holder != null) {
+            to(State.FOLLOWER, now);
+        }
+    }
+
+    /** Another controller asks for our word that we will not lead for a while. */
+    public boolean grant(long askedTerm, double now) {
+        if (state != State.FOLLOWER || askedTerm < leaderTerm) {
+            return false;
+        }
+        lastGranted = now;
+        return true;
+    }
+
+    public void onGranted(String peer, long askedTerm, double sentAt) {
+        if (state == State.LEADER && askedTerm == term) {
+            grants.merge(peer, sentAt + grantS * (1 - 2 * Policy.DRIFT) - MARGIN_S, Math::max);
+        }
+    }
+
+    public void onTaken(long newTerm, long newLease, double sentAt, double now) {
+        if (state != State.TAKING) {
+            actions.release(newLease);
+            return;
+        }
+        term = newTerm;
+        lease = newLease;
+        leaseUntil = until(sentAt);
+        leader = self;
+        leaderTerm = newTerm;
+        to(State.LEADER, now);
+    }
+
+    public void onTakeFailed(double now) {
+        if (state == State.TAKING) {
+            notBefore = now + 0.2;
+            to(State.CANDIDATE, now);
+        }
+    }
+
+    /** {@code alive} false: the state service says that the lease is over. */
+    public void onRenewed(long renewed, boolean alive, double sentAt, double now) {
+        if (state != State.LEADER || renewed != lease) {
+            return;
+        }
+        if (alive) {
+            leaseUntil = Math.max(leaseUntil, until(sentAt));
+        } else {
+            LOG.info("term {}: the lease is over", term);
+            leader = null;
+            to(State.FOLLOWER, now);
+        }
+    }
+
+    private double until(double sentAt) {
+        return sentAt + leaseS * (1 - 2 * Policy.DRIFT) - MARGIN_S;
+    }
+
+    /** Gives up leading, since another controller can do better. */
+    public void resign(String why, double now) {
+        if (state == State.LEADER) {
+            LOG.info("term {}: hands over: {}", term, why);
+            long held = lease;
+            notBefore = now + COOL_S;
+            leader = null;
+            known = false;
+            to(State.FOLLOWER, now);
+            actions.release(held);
+        }
+    }
+
+    public void tick(double now) {
+        switch (state) {
+            case FOLLOWER -> {
+                if (known && leader == null && now >= notBefore) {
+                    to(State.CANDIDATE, now);
+                }
+            }
+            case CANDIDATE -> {
+                boolean lapsed = !everLed || now > lastGranted + grantS * (1 + 2 * Policy.DRIFT) + MARGIN_S;
+                if (leader != null) {
+                    to(State.FOLLOWER, now);
+                } else if (lapsed && now >= notBefore) {
+                    to(State.TAKING, now);
+                    actions.take();
+                }
+            }
+            case TAKING -> { }
+            case LEADER -> lead(now);
+        }
+    }
+
+    private void lead(double now) {
+        if (now >= nextRenew) {
+            nextRenew = now + leaseS / 5;
+            actions.renew(lease);
+        }
+        if (now >= nextAsk) {
+            nextAsk = now + grantS / 4;
+            for (String peer : peers) {
+                actions.askForGrant(peer, term, now);
+            }
+        }
+        boolean may = mayAct(now);
+        if (may != mayActBefore) {
+            LOG.info("term {}: {}", term, may ? "may act" : "may not act, neither lease nor grants");
+            mayActBefore = may;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -0,0 +1,335 @@
+package io.kelphoist.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents machines for work that found no room, with a little headroom, and returns what is idle, lost or faulty. */
+final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    private static final double EVERY_S = 0.5;
+    /** A boot that takes longer than this many times the usual is no longer counted on... */
+    private static final double SLOW_BOOT = 1.8;
+    /** ...and given up after this many. */
+    private static final double DEAD_BOOT = 3.5;
+    private static final double REFUSED_FOR_S = 15;
+    private static final double LOST_FOR_S = 20;
+    private static final int MOST_PER_REQUEST = 50;
+    private static final int MOST_PER_RETURN = 100;
+
+    /** A kind of machine that can be asked for. */
+    private record Kind(String type, int zone, boolean spot) { }
+
+    /** Room that is there or on its way. */
+    private static final class Room {
+        final MachineType type;
+        final int zone;
+        final boolean spot;
+        Resources free;
+        boolean untouched;
+
+        Room(MachineType type, int zone, boolean spot, Resources free, boolean untouched) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.free = free;
+            this.untouched = untouched;
+        }
+    }
+
+    private final Cluster cluster;
+    private final Map<Kind, Double> refusedUntil = new HashMap<>();
+    /** Requests without a final answer, and when to ask again. */
+    private final Map<Rental, Double> open = new LinkedHashMap<>();
+    private double nextRun;
+    private boolean returning;
+    private double returnRetryAt;
+    private long requests;
+
+    Fleet(Cluster cluster) {
+        this.cluster = cluster;
+    }
+
+    void run(List<Job> unplaced, double now) {
+        retry(now);
+        if (now < nextRun) {
+            return;
+        }
+        nextRun = now + EVERY_S;
+        List<Room> rooms = rooms(now);
+        Map<Kind, Integer> wanted = new LinkedHashMap<>();
+        for (Job job : unplaced) {
+            demand(job, rooms, wanted, now);
+        }
+        int spare = spare(rooms, wanted, now);
+        wanted.forEach((kind, count) -> {
+            for (int left = count; left > 0; left -= MOST_PER_REQUEST) {
+                ask(kind, Math.min(left, MOST_PER_REQUEST), now);
+            }
+        });
+        giveBack(spare, now);
+    }
+
+    private List<Room> rooms(double now) {
+        List<Room> rooms = new ArrayList<>();
+        for (Machine m : cluster.machines.values()) {
+            boolean booting = m.state() == Machine.State.BOOTING && now - m.rentedAt < SLOW_BOOT * m.type.bootS();
+            if (booting || m.state() == Machine.State.JOINING) {
+                rooms.add(new Room(m.type, m.zone, m.spot, m.type.capacity(), true));
+            } else if (m.state() == Machine.State.UP && m.takenAt == Double.POSITIVE_INFINITY) {
+                rooms.add(new Room(m.type, m.zone, m.spot, m.heldFor != null ? Resources.NONE : m.free(), m.idle() && m.heldFor == null));
+            }
+        }
+        for (Rental r : open.keySet()) {
+            MachineType type = cluster.types.get(r.type());
+            for (int i = 0; i < r.count(); i++) {
+                rooms.add(new Room(type, cluster.zones.of(r.zone()), r.spot(), type.capacity(), true));
+            }
+        }
+        return rooms;
+    }
+
+    private void demand(Job job, List<Room> rooms, Map<Kind, Integer> wanted, double now) {
+        int tasks = job.pending.cardinality();
+        TeamState team = job.team;
+        int allowed = 0;
+        while (allowed < tasks && allowed < 200 && team.withinLimit(job.spec.perTask().times(allowed + 1))) {
+            allowed++;
+        }
+        if (job.gangRan) {
+            return;
+        }
+        int[] inZone = job.perZone.clone();
+        int common = job.commonZone();
+        for (int i = 0; i < allowed; i++) {
+            Room room = null;
+            for (Room r : rooms) {
+                if (fits(job, r.type, r.zone, r.spot, inZone, common) && job.spec.perTask().fitsIn(r.free)) {
+                    room = r;
+                    break;
+                }
+            }
+            if (room == null) {
+                Kind kind = choose(job, inZone, common, now);
+                if (kind == null) {
+                    return;
+                }
+                wanted.merge(kind, 1, Integer::sum);
+                MachineType type = cluster.types.get(kind.type);
+                room = new Room(type, kind.zone, kind.spot, type.capacity(), true);
+                rooms.add(room);
+            }
+            room.free = room.free.minus(job.spec.perTask());
+            room.untouched = false;
+            inZone[room.zone]++;
+            if (job.spec.oneZone()) {
+                common = room.zone;
+            }
+        }
+    }
+
+    private static boolean fits(Job job, MachineType type, int zone, boolean spot, int[] inZone, int common) {
+        return job.spec.allowsType(type.name()) && (!spot || job.spec.spotAllowed()) && job.zoneAllowed[zone]
+                && (common < 0 || common == zone) && inZone[zone] < job.spec.zoneCap() && job.spec.perTask().fitsIn(type.capacity());
+    }
+
+    /** The cheapest kind that is not known to be refused; among equals the zone with the fewest machines. */
+    private Kind choose(Job job, int[] inZone, int common, double now) {
+        Kind best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (MachineType type : cluster.types.values()) {
+            for (String zoneName : type.zones()) {
+                int zone = cluster.zones.of(zoneName);
+                for (int spot = 0; spot < 2; spot++) {
+                    Kind kind = new Kind(type.name(), zone, spot == 1);
+                    if (!fits(job, type, zone, kind.spot, inZone, common) || now < refusedUntil.getOrDefault(kind, 0.0)) {
+                        continue;
+                    }
+                    double cost = type.price(kind.spot) * job.spec.perTask().dominantShare(type.capacity()) + 0.01 * count(kind);
+                    if (cost < bestCost) {
+                        bestCost = cost;
+                        best = kind;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private int count(Kind kind) {
+        int count = 0;
+        for (Machine m : cluster.machines.values()) {
+            if (m.zone == kind.zone && m.spot == kind.spot && m.type.name().equals(kind.type)) {
+                count++;
+            }
+        }
+        for (Rental r : open.keySet()) {
+            if (r.spot() == kind.spot && r.type().equals(kind.type) && cluster.zones.find(r.zone()) == kind.zone) {
+                count += r.count();
+            }
+        }
+        return count;
+    }
+
+    /** Keeps some whole machines ready; returns how many there are beyond that. */
+    private int spare(List<Room> rooms, Map<Kind, Integer> wanted, double now) {
+        int busy = 0;
+        int ready = 0;
+        for (Room r : rooms) {
+            if (r.untouched && !r.spot) {
+                ready++;
+            } else if (!r.untouched) {
+                busy++;
+            }
+        }
+        int headroom = cluster.jobs.isEmpty() ? 0 : Math.max(1, (int) Math.ceil(cluster.policy.headroom() * busy));
+        for (int i = ready; i < headroom; i++) {
+            Kind best = null;
+            for (MachineType type : cluster.types.values()) {
+                for (String zone : type.zones()) {
+                    Kind kind = new Kind(type.name(), cluster.zones.of(zone), false);
+                    if (now >= refusedUntil.getOrDefault(kind, 0.0) && (best == null || rank(kind, wanted) < rank(best, wanted))) {
+                        best = kind;
+                    }
+                }
+            }
+            if (best != null) {
+                wanted.merge(best, 1, Integer::sum);
+            }
+        }
+        return ready - headroom;
+    }
+
+    private double rank(Kind kind, Map<Kind, Integer> wanted) {
+        return count(kind) + wanted.getOrDefault(kind, 0) + cluster.types.get(kind.type).price();
+    }
+
+    private void ask(Kind kind, int count, double now) {
+        Rental r = new Rental("t" + cluster.term + "-" + ++requests, kind.type, cluster.zones.name(kind.zone), kind.spot, count);
+        LOG.info("rent {}: {} {}{} in {}", r.name(), count, kind.type, kind.spot ? " (spot)" : "", r.zone());
+        open.put(r, Double.POSITIVE_INFINITY);
+        cluster.effects.rent(r);
+    }
+
+    private void retry(double now) {
+        for (var e : open.entrySet()) {
+            if (now >= e.getValue()) {
+                e.setValue(Double.POSITIVE_INFINITY);
+                cluster.effects.rent(e.getKey());
+            }
+        }
+    }
+
+    /** {@code names} null: refused if so said, else unsure, and asked again under the same name. */
+    void onRented(Rental rental, List<String> names, boolean refused, double now) {
+        if (!open.containsKey(rental)) {
+            return;
+        }
+        if (names == null && !refused) {
+            open.put(rental, now + 1.0);
+            return;
+        }
+        open.remove(rental);
+        MachineType type = cluster.types.get(rental.type());
+        int zone = cluster.zones.of(rental.zone());
+        int got = names == null ? 0 : names.size();
+        if (got < rental.count()) {
+            LOG.info("rental {} got {} of {}", rental.name(), got, rental.count());
+            refusedUntil.put(new Kind(rental.type(), zone, rental.spot()), now + REFUSED_FOR_S);
+        }
+        if (names != null) {
+            for (String name : names) {
+                if (!cluster.machines.containsKey(name) && !cluster.knownGone(name)) {
+                    cluster.machines.put(name, new Machine(name, null, type, zone, rental.spot(), Machine.State.BOOTING, now));
+                }
+            }
+        }
+    }
+
+    void onList(List<CloudMachine> list, double now) {
+        for (CloudMachine c : list) {
+            Machine m = cluster.machines.get(c.name());
+            MachineType type = cluster.types.get(c.type());
+            if (m == null && type != null && !cluster.knownGone(c.name())) {
+                LOG.info("machine {} adopted from the list", c.name());
+                m = new Machine(c.name(), c.address(), type, cluster.zones.of(c.zone()), c.spot(), Machine.State.BOOTING, now - c.ageS());
+                cluster.machines.put(c.name(), m);
+            }
+            if (m == null) {
+                continue;
+            }
+            m.listed = true;
+            if (c.state() == CloudMachine.CloudState.FAILED && m.to(Machine.State.RETURNING, now)) {
+                // It stopped by itself: nothing runs there any more.
+                LOG.info("machine {} failed, {} tasks with it", m.name, m.placements.size());
+                cluster.stopped(m, now);
+            }
+        }
+    }
+
+    private void giveBack(int spare, double now) {
+        int idle = spare;
+        List<Machine> candidates = new ArrayList<>(cluster.machines.values());
+        candidates.sort((a, b) -> Double.compare(a.idleSince, b.idleSince));
+        for (Machine m : candidates) {
+            switch (m.state()) {
+                case BOOTING -> {
+                    if (now - m.rentedAt > DEAD_BOOT * m.type.bootS()) {
+                        leave(m, "never came up", now);
+                    }
+                }
+                case LOST -> {
+                    if (now - m.lastReport > cluster.policy.leaseS() + LOST_FOR_S) {
+                        leave(m, "lost", now);
+                    }
+                }
+                case DRAINING -> {
+                    if (m.idle()) {
+                        leave(m, "drained", now);
+                    }
+                }
+                case UP -> {
+                    boolean aged = m.idle() && m.held.equals(Resources.NONE) && m.heldFor == null
+                            && now - m.idleSince > cluster.policy.idleS();
+                    if (aged && (m.spot || idle > 0)) {
+                        idle -= m.spot ? 0 : 1;
+                        leave(m, "idle", now);
+                    }
+                }
+                default -> { }
+            }
+        }
+        if (returning || now < returnRetryAt) {
+            return;
+        }
+        List<String> names = new ArrayList<>();
+        for (Machine m : cluster.machines.values()) {
+            if (m.state() == Machine.State.RETURNING && names.size() < MOST_PER_RETURN) {
+                names.add(m.name);
+            }
+        }
+        if (!names.isEmpty()) {
+            returning = true;
+            cluster.effects.giveBack(names);
+        }
+    }
+
+    private void leave(Machine m, String why, double now) {
+        if (m.to(Machine.State.RETURNING, now)) {
+            LOG.info("return {}: {}", m.name, why);
+        }
+    }
+
+    void onReturned() {
+        returning = false;
+    }
+
+    void onReturnFailed(double now) {
+        returning = false;
+        returnRetryAt = now + 1.5;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -0,0 +1,140 @@
+package io.kelphoist.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Gangs: all tasks at once or none. Accepted pieces are held, counted to the team up to its guarantee, for a bounded
+ * wait; then they are released, and for as long again the gang holds nothing.
+ */
+final class GangScheduler implements KindScheduler {
+    private record Piece(Job job, Machine machine) { }
+
+    private final Cluster cluster;
+    private final List<Piece> pieces = new ArrayList<>();
+
+    GangScheduler(Cluster cluster) {
+        this.cluster = cluster;
+    }
+
+    @Override
+    public boolean consider(Offer offer, Job job) {
+        double now = offer.now();
+        if (!job.at.isEmpty()) {
+            return !job.gangRan && replace(offer, job);
+        }
+        release(job);
+        if (!job.team.withinLimit(job.spec.perTask().times(job.spec.tasks()))) {
+            return false;
+        }
+        List<Machine> places = placeAll(offer, job);
+        if (places.size() == job.spec.tasks()) {
+            job.holdUntil = 0;
+            job.gangAttempt = cluster.nextAttempt();
+            for (int task = 0; task < places.size(); task++) {
+                cluster.start(job, task, places.get(task), job.gangAttempt, now);
+            }
+            return true;
+        }
+        hold(job, places, now);
+        return false;
+    }
+
+    /** A gang that lost a task before it began goes on with a replacement of the same attempt. */
+    private boolean replace(Offer offer, Job job) {
+        int task = job.pending.nextSetBit(0);
+        if (task < 0 || !job.team.withinLimit(job.spec.perTask())) {
+            return false;
+        }
+        for (Placement p : job.at.values()) {
+            if (p.stopping()) {
+                return false;
+            }
+        }
+        Machine m = Placing.best(offer, job);
+        if (m == null) {
+            return false;
+        }
+        cluster.start(job, task, m, job.gangAttempt, offer.now());
+        return true;
+    }
+
+    /** Places for as many tasks as fit, in the zone that takes most where all must share one. */
+    private List<Machine> placeAll(Offer offer, Job job) {
+        if (!job.spec.oneZone()) {
+            return place(offer, job, -1);
+        }
+        List<Machine> most = List.of();
+        for (int zone = 0; zone < job.perZone.length; zone++) {
+            List<Machine> places = place(offer, job, zone);
+            if (places.size() > most.size() || places.size() == most.size() && !places.isEmpty() && cost(job, places) < cost(job, most)) {
+                most = places;
+            }
+        }
+        return most;
+    }
+
+    private static double cost(Job job, List<Machine> places) {
+        return places.stream().mapToDouble(m -> Placing.cost(job, m)).max().orElse(Double.POSITIVE_INFINITY);
+    }
+
+    private static List<Machine> place(Offer offer, Job job, int onlyZone) {
+        List<Machine> places = new ArrayList<>();
+        Resources need = job.spec.perTask();
+        int[] inZone = new int[job.perZone.length];
+        List<Machine> candidates = new ArrayList<>();
+        for (Machine m : offer.machines()) {
+            if ((onlyZone < 0 || m.zone == onlyZone) && offer.allows(job, m)) {
+                candidates.add(m);
+            }
+        }
+        candidates.sort((a, b) -> Double.compare(Placing.cost(job, a), Placing.cost(job, b)));
+        for (Machine m : candidates) {
+            Resources room = m.free();
+            while (places.size() < job.spec.tasks() && need.fitsIn(room) && inZone[m.zone] < job.spec.zoneCap()) {
+                places.add(m);
+                inZone[m.zone]++;
+                room = room.minus(need);
+            }
+        }
+        return places;
+    }
+
+    private void hold(Job job, List<Machine> places, double now) {
+        if (now < job.holdFilterUntil || places.isEmpty()) {
+            return;
+        }
+        if (job.holdUntil == 0) {
+            job.holdUntil = now + cluster.policy.gangHoldS();
+        } else if (now >= job.holdUntil) {
+            job.holdUntil = 0;
+            job.holdFilterUntil = now + cluster.policy.gangHoldS();
+            return;
+        }
+        Resources need = job.spec.perTask();
+        for (Machine m : places) {
+            if (job.team.withinGuarantee(job.team.held.plus(need))) {
+                pieces.add(new Piece(job, m));
+                m.held = m.held.plus(need);
+                job.team.held = job.team.held.plus(need);
+            }
+        }
+    }
+
+    private void release(Job job) {
+        pieces.removeIf(piece -> piece.job == job && free(piece));
+    }
+
+    /** Releases what is held for jobs that need it no more, or too long. */
+    void releaseStale(double now) {
+        pieces.removeIf(piece -> (!piece.job.active() || !piece.job.at.isEmpty() || now >= piece.job.holdUntil
+                || !piece.machine.takesWork(now)) && free(piece));
+    }
+
+    private boolean free(Piece piece) {
+        Resources need = piece.job.spec.perTask();
+        piece.machine.held = piece.machine.held.minus(need);
+        piece.job.team.held = piece.job.team.held.minus(need);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/JobSpec.java
@@ -0,0 +1,29 @@
+package io.kelphoist.core;
+
+import java.util.Set;
+
+/**
+ * A job as its user described it.
+ *
+ * @param types allowed machine types; null: any
+ * @param zone the only allowed zone; null: any
+ * @param deadlineS wanted completion, from submission; null: none
+ */
+public record JobSpec(
+        String id, String jobClass, String team, JobKind kind, Priority priority, int tasks, Resources perTask,
+        Set<String> types, String zone, boolean oneZone, boolean spread, boolean spotAllowed,
+        String image, double imageGb, double estimateS, double checkpointS, double saveS, Double deadlineS) {
+
+    public boolean allowsType(String type) {
+        return types == null || types.contains(type);
+    }
+
+    /** The most tasks that may share a zone. */
+    public int zoneCap() {
+        return spread ? (tasks + 1) / 2 : tasks;
+    }
+
+    public boolean checkpoints() {
+        return checkpointS > 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -0,0 +1,147 @@
+package io.kelphoist.core;
+
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A rented machine and what may be on it. */
+public final class Machine {
+    /** Named states; {@link #to} is the one place where they change. */
+    public enum State {
+        /** Rented, its worker has not reported yet. */
+        BOOTING,
+        /** Known from a record or an unconfirmed report; has not acknowledged our term. */
+        JOINING,
+        /** Reported under our term. */
+        UP,
+        /** As UP, but gets no new work. */
+        DRAINING,
+        /** Its lease has surely ended, so nothing runs on it. */
+        LOST,
+        /** Return asked for, not confirmed. */
+        RETURNING,
+        /** Confirmed gone. */
+        GONE;
+
+        boolean reports() {
+            return this == UP || this == DRAINING;
+        }
+    }
+
+    public final String name;
+    public final MachineType type;
+    public final int zone;
+    public final boolean spot;
+    String address;
+    private State state;
+    /** Take-over waits for machines that may run tasks of an earlier term. */
+    boolean mayRun;
+    /** The record that it may run tasks is stored. */
+    boolean recorded;
+    boolean recording;
+    long session;
+    long seq;
+    /** Sessions up to this one are over, whatever late messages say. */
+    long deadSession;
+    /** Our last answer to it, or an earlier leader's last possible one. */
+    double lastAnswer;
+    double lastReport;
+    double rentedAt;
+    double idleSince;
+    double takenAt = Double.POSITIVE_INFINITY;
+    boolean ordersInFlight;
+    double ordersRetryAt;
+    boolean listed;
+    Resources used = Resources.NONE;
+    /** Pieces held for gangs. */
+    Resources held = Resources.NONE;
+    final List<Placement> placements = new ArrayList<>();
+    /** Images it should have cached, least recently used first. */
+    private final IntArrayList images = new IntArrayList();
+    private double imagesGb;
+    /** Held for this job: offered to no other team until the time. */
+    Job heldFor;
+    double heldUntil;
+    final List<Job> failedJobs = new ArrayList<>();
+
+    Machine(String name, String address, MachineType type, int zone, boolean spot, State state, double now) {
+        this.name = name;
+        this.address = address;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.state = state;
+        this.rentedAt = now;
+        this.idleSince = now;
+        this.lastAnswer = now;
+        this.lastReport = now;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    /** The one function for every change of state. */
+    boolean to(State next, double now) {
+        if (state == next || state == State.GONE || state == State.RETURNING && next != State.GONE) {
+            return false;
+        }
+        state = next;
+        if (next == State.UP) {
+            idleSince = now;
+        }
+        return true;
+    }
+
+    public String address() {
+        return address;
+    }
+
+    public Resources free() {
+        return type.capacity().minus(used).minus(held);
+    }
+
+    public long session() {
+        return session;
+    }
+
+    boolean idle() {
+        return placements.isEmpty();
+    }
+
+    boolean takesWork(double now) {
+        return state == State.UP && recorded && takenAt == Double.POSITIVE_INFINITY;
+    }
+
+    boolean heldForOther(Job job, double now) {
+        return heldFor != null && heldFor != job && now < heldUntil;
+    }
+
+    boolean caches(int image) {
+        return images.contains(image);
+    }
+
+    /** Notes that an image was used, and drops what the cache no longer holds. */
+    void usedImage(int image, double gb, ImageSizes sizes) {
+        int at = images.indexOf(image);
+        if (at >= 0) {
+            images.removeInt(at);
+        } else {
+            imagesGb += gb;
+        }
+        images.add(image);
+        while (imagesGb > type.cacheGb() && images.size() > 1) {
+            imagesGb -= sizes.gb(images.removeInt(0));
+        }
+    }
+
+    void forgetImages() {
+        images.clear();
+        imagesGb = 0;
+    }
+
+    /** Sizes of images by index. */
+    interface ImageSizes {
+        double gb(int image);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Resources.java
@@ -0,0 +1,36 @@
+package io.kelphoist.core;
+
+/** An amount of each resource; also used for free room and limits. */
+public record Resources(double cpus, double gpus, double memoryGb) {
+    public static final Resources NONE = new Resources(0, 0, 0);
+    /** Decimal amounts are added and taken away many times; this much may be lost to rounding. */
+    private static final double SLACK = 1e-6;
+
+    public Resources plus(Resources other) {
+        return new Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb);
+    }
+
+    public Resources minus(Resources other) {
+        return new Resources(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb);
+    }
+
+    public Resources times(double n) {
+        return new Resources(cpus * n, gpus * n, memoryGb * n);
+    }
+
+    public boolean fitsIn(Resources room) {
+        return cpus <= room.cpus + SLACK && gpus <= room.gpus + SLACK && memoryGb <= room.memoryGb + SLACK;
+    }
+
+    /** The largest fraction of any one resource of {@code total}: the dominant share. */
+    public double dominantShare(Resources total) {
+        return Math.max(fraction(cpus, total.cpus), Math.max(fraction(gpus, total.gpus), fraction(memoryGb, total.memoryGb)));
+    }
+
+    private static double fraction(double part, double whole) {
+        if (part <= SLACK || Double.isInfinite(part) || Double.isInfinite(whole)) {
+            return 0;
+        }
+        return whole <= SLACK ? 1 : part / whole;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -0,0 +1,543 @@
+package io.kelphoist.daemon;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.api.UserApi;
+import io.kelphoist.cloud.CloudClient;
+import io.kelphoist.config.OperatorSettings;
+import io.kelphoist.config.Settings;
+import io.kelphoist.core.Cluster;
+import io.kelphoist.core.Command;
+import io.kelphoist.core.Effects;
+import io.kelphoist.core.Election;
+import io.kelphoist.core.Job;
+import io.kelphoist.core.Machine;
+import io.kelphoist.core.MachineReport;
+import io.kelphoist.core.MachineType;
+import io.kelphoist.core.Rental;
+import io.kelphoist.peer.PeerCalls;
+import io.kelphoist.state.Committer;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import io.kelphoist.wire.Codec;
+import io.kelphoist.wire.HttpCaller;
+import io.kelphoist.wire.HttpServing;
+import io.kelphoist.worker.WorkerCalls;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+/** One controller: the event loop's side of everything. All of it runs on one I/O thread. */
+public final class Controller implements Effects, Leadership.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+    private static final double TICK_S = 0.2;
+    private static final double SOON_S = 0.015;
+    private static final double TYPES_EVERY_S = 45;
+    private static final double NEWS_EVERY_S = 1.0;
+    private static final int RELAY_TIMEOUT_MS = 3000;
+    private static final double RELAY_FOR_S = 30;
+    private static final double CAME_BACK_S = 10;
+    private static final int STATE_CONNECTIONS = 6;
+
+    /** Counts for the metrics, by what happened. */
+    final Counters counters = new Counters();
+
+    private final Settings settings;
+    private final OperatorSettings operator;
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers;
+    private final StateClient.Loop loop;
+    private final StateClient state;
+    private final Committer committer;
+    private final CloudClient cloud;
+    private final WorkerCalls workers;
+    private final PeerCalls peers;
+    private final Leadership leadership;
+    private final UserApi api;
+
+    private List<MachineType> types = List.of();
+    private Cluster cluster;
+    private Store store;
+    private boolean loaded;
+    private boolean tickSoon;
+    private double typesAt = Double.NEGATIVE_INFINITY;
+    private boolean typesAsked;
+    private double listAt;
+    private boolean listAsked;
+    private double newsAt;
+    private double ledSince;
+    private Map<String, UserApi.Counts> counts = new HashMap<>();
+    private final Map<String, Double> redirectedAt = new HashMap<>();
+    private final Map<String, Double> relayUntil = new HashMap<>();
+
+    public Controller(Settings settings, OperatorSettings operator, XnioIoThread thread, ByteBufferPool buffers, double startedAt) {
+        this.settings = settings;
+        this.operator = operator;
+        this.thread = thread;
+        this.buffers = buffers;
+        this.loop = new StateClient.Loop() {
+            @Override
+            public double now() {
+                return System.nanoTime() * 1e-9;
+            }
+
+            @Override
+            public void after(double seconds, Runnable task) {
+                thread.executeAfter(() -> guarded(task), Math.max(1, Math.round(seconds * 1000)), TimeUnit.MILLISECONDS);
+            }
+        };
+        state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, 4), loop,
+                settings.stateLimits().rps() * 0.45);
+        committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
+        cloud = new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps());
+        workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1));
+        Map<String, HttpCaller> callers = new HashMap<>();
+        settings.peers().forEach(p -> callers.put(p.node(), caller(p.address(), HttpServing.JSON, 4)));
+        peers = new PeerCalls(callers);
+        leadership = new Leadership(settings.node(), settings.peers().stream().map(Settings.Peer::node).toList(), state, peers, loop,
+                operator.leaderLeaseMs(), operator.grantMs(), startedAt, this);
+        api = new UserApi(state, committer, loop, System::currentTimeMillis, new UserApi.Knowledge() {
+            @Override
+            public Collection<MachineType> types() {
+                return types;
+            }
+
+            @Override
+            public UserApi.Counts counts(String job) {
+                return Controller.this.counts.get(job);
+            }
+        }, settings.teams(), settings.zones(), settings.stateLimits().valueKb());
+        beat();
+        readTypes();
+    }
+
+    private HttpCaller caller(String address, String type, int most) {
+        return new HttpCaller(thread, buffers, address, type, most);
+    }
+
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            counters.bugs++;
+            LOG.error("unexpected", e);
+        }
+    }
+
+    private void beat() {
+        loop.after(TICK_S, this::beat);
+        tick();
+    }
+
+    private void tick() {
+        double now = loop.now();
+        leadership.tick();
+        Election election = leadership.election();
+        if (election.state() == Election.State.LEADER && cluster != null && loaded && election.mayAct(now)) {
+            cluster.tick(now);
+            if (cluster.deposed()) {
+                election.resign("a worker has seen a higher term", now);
+                return;
+            }
+            askCloud(now);
+            handOverIfCutOff(now);
+        }
+        workers.sweep(now);
+    }
+
+    /** Input often comes in bursts; one tick serves them all. */
+    private void soon() {
+        if (!tickSoon) {
+            tickSoon = true;
+            loop.after(SOON_S, () -> {
+                tickSoon = false;
+                tick();
+            });
+        }
+    }
+
+    // ---- types, list ----
+
+    private void readTypes() {
+        if (!types.isEmpty()) {
+            return;
+        }
+        state.get(Keys.TYPES, result -> {
+            if (result instanceof StateClient.Done d && d.status() == 200) {
+                try {
+                    if (types.isEmpty()) {
+                        types = Codec.types(d.body().path("value"));
+                    }
+                    return;
+                } catch (BadMessage e) {
+                    LOG.error("stored machine types: {}", e.getMessage());
+                }
+            }
+            loop.after(0.5, this::readTypes);
+        });
+    }
+
+    private void askCloud(double now) {
+        if (!listAsked && now >= listAt) {
+            listAsked = true;
+            Cluster asked = cluster;
+            cloud.list(list -> {
+                listAsked = false;
+                listAt = loop.now() + Math.max(2.0, 2 / settings.cloudLimits().rps());
+                if (list != null && cluster == asked) {
+                    cluster.onCloudList(list, loop.now());
+                    soon();
+                }
+            });
+        }
+        if (now >= typesAt + TYPES_EVERY_S) {
+            fetchTypes();
+        }
+    }
+
+    private void fetchTypes() {
+        if (typesAsked) {
+            return;
+        }
+        typesAsked = true;
+        cloud.types(list -> {
+            typesAsked = false;
+            if (list == null || list.isEmpty()) {
+                typesAt = loop.now() - TYPES_EVERY_S + 1.0;
+                return;
+            }
+            typesAt = loop.now();
+            boolean news = types.isEmpty() || !names(types).equals(names(list));
+            types = list;
+            if (cluster != null) {
+                cluster.setTypes(list);
+                if (news && store != null) {
+                    store.types(list);
+                }
+            }
+        });
+    }
+
+    private static List<String> names(List<MachineType> types) {
+        return types.stream().map(MachineType::name).toList();
+    }
+
+    // ---- leadership ----
+
+    @Override
+    public void began(long term, long termVersion) {
+        LOG.info("term {} begins here", term);
+        ledSince = loop.now();
+        loaded = false;
+        begin(term, termVersion);
+    }
+
+    /** Without machine types nothing can be understood; the first leader ever has to ask for them. */
+    private void begin(long term, long termVersion) {
+        Election election = leadership.election();
+        if (election.state() != Election.State.LEADER || election.term() != term) {
+            return;
+        }
+        if (types.isEmpty()) {
+            state.get(Keys.TYPES, result -> {
+                boolean absent = result instanceof StateClient.Done d && d.status() == 404;
+                if (absent) {
+                    fetchTypes();
+                }
+                loop.after(0.2, () -> begin(term, termVersion));
+            });
+            return;
+        }
+        store = new Store(state, committer, loop, System::currentTimeMillis, termVersion, () -> election.resign("the term has moved on", loop.now()),
+                this::soon);
+        cluster = new Cluster(operator.policy(settings), this, term, types, loop.now());
+        Cluster loading = cluster;
+        Store reading = store;
+        store.load(cluster, () -> {
+            if (cluster == loading) {
+                loaded = true;
+                reading.types(types);
+                LOG.info("term {}: {} machines and {} jobs read after {} ms", term, loading.machines().size(), loading.jobs().size(),
+                        Math.round((loop.now() - ledSince) * 1000));
+                soon();
+            }
+        });
+    }
+
+    @Override
+    public void ended() {
+        LOG.info("the term ends here");
+        if (store != null) {
+            store.close();
+        }
+        store = null;
+        cluster = null;
+        loaded = false;
+    }
+
+    @Override
+    public ObjectNode news() {
+        ObjectNode m = Cbor.map();
+        double now = loop.now();
+        if (cluster != null && loaded && now >= newsAt) {
+            // The next peer asked in the same round gets it too.
+            loop.after(0.05, () -> newsAt = loop.now() + NEWS_EVERY_S);
+            counts = collect();
+            ObjectNode jobs = m.putObject("jobs");
+            counts.forEach((id, c) -> jobs.putArray(id).add(c.done()).add(c.running()));
+        }
+        return m;
+    }
+
+    private Map<String, UserApi.Counts> collect() {
+        Map<String, UserApi.Counts> all = new HashMap<>();
+        for (Job j : cluster.jobs()) {
+            if (j.doneCount() + j.runningCount() > 0 && all.size() < 1000) {
+                all.put(j.spec.id(), new UserApi.Counts(j.doneCount(), j.runningCount()));
+            }
+        }
+        return all;
+    }
+
+    /** A leader that no worker reaches, while there are some, lets another lead. */
+    private void handOverIfCutOff(double now) {
+        double quiet = 2.5 * settings.workers().reportS();
+        if (now - ledSince < quiet + settings.workers().leaseS() || peers == null || settings.peers().isEmpty()) {
+            return;
+        }
+        int up = 0;
+        for (Machine m : cluster.machines()) {
+            if (m.state() == Machine.State.UP || m.state() == Machine.State.DRAINING) {
+                up++;
+            }
+        }
+        if (up >= 3 && now - counters.directReportAt > quiet) {
+            leadership.election().resign("no worker reaches this controller", now);
+        }
+    }
+
+    // ---- reports ----
+
+    public void report(HttpServerExchange exchange, byte[] body) {
+        ObjectNode message;
+        MachineReport report;
+        try {
+            message = Cbor.decode(body);
+            report = Codec.report(message);
+        } catch (BadMessage e) {
+            counters.badMessages++;
+            LOG.debug("report: {}", e.getMessage());
+            HttpServing.status(exchange, 400);
+            return;
+        }
+        counters.reports++;
+        Election election = leadership.election();
+        if (election.state() == Election.State.LEADER) {
+            counters.directReportAt = loop.now();
+            ObjectNode answer = lead(report);
+            if (answer == null) {
+                HttpServing.status(exchange, 503);
+            } else {
+                HttpServing.cbor(exchange, 200, answer);
+            }
+            return;
+        }
+        String leader = election.leader();
+        if (leader == null || !peers.knows(leader)) {
+            HttpServing.cbor(exchange, 421, Codec.redirect(null));
+            return;
+        }
+        double now = loop.now();
+        boolean cameBack = now - redirectedAt.getOrDefault(report.machine(), Double.NEGATIVE_INFINITY) < CAME_BACK_S;
+        if (cameBack) {
+            relayUntil.put(report.machine(), now + RELAY_FOR_S);
+        }
+        if (now < relayUntil.getOrDefault(report.machine(), 0.0)) {
+            redirectedAt.remove(report.machine());
+            counters.relayed++;
+            peers.call(leader, "/peer/report", message, RELAY_TIMEOUT_MS, answer -> {
+                if (answer != null && answer.status() == 200) {
+                    HttpServing.cbor(exchange, 200, answer.body());
+                } else {
+                    relayUntil.remove(report.machine());
+                    HttpServing.status(exchange, 503);
+                }
+            });
+            return;
+        }
+        redirectedAt.put(report.machine(), now);
+        HttpServing.cbor(exchange, 421, Codec.redirect(leader));
+    }
+
+    /** The answer to a report, if this controller may give one. */
+    private ObjectNode lead(MachineReport report) {
+        double now = loop.now();
+        Election election = leadership.election();
+        if (!election.mayAct(now)) {
+            return null;
+        }
+        if (!loaded) {
+            // Its lease is kept; what it says is taken in once the records are read.
+            return report.token() > election.term() ? null : Codec.answer(election.term(), List.of());
+        }
+        List<Command> commands = cluster.onReport(report, now);
+        soon();
+        return commands == null ? null : Codec.answer(election.term(), commands);
+    }
+
+    // ---- peers ----
+
+    public void grant(HttpServerExchange exchange, byte[] body) {
+        ObjectNode m;
+        try {
+            m = Cbor.decodeJson(body);
+        } catch (BadMessage e) {
+            counters.badMessages++;
+            HttpServing.status(exchange, 400);
+            return;
+        }
+        leadership.heard(m);
+        boolean granted = m.path("term").isIntegralNumber() && leadership.election().grant(m.path("term").asLong(), loop.now());
+        if (m.has("jobs") && cluster == null) {
+            Map<String, UserApi.Counts> news = new HashMap<>();
+            m.path("jobs").fields().forEachRemaining(e ->
+                    news.put(e.getKey(), new UserApi.Counts(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
+            counts = news;
+        }
+        HttpServing.json(exchange, 200, Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0));
+    }
+
+    public void relayed(HttpServerExchange exchange, byte[] body) {
+        try {
+            MachineReport report = Codec.report(Cbor.decodeJson(body));
+            ObjectNode answer = leadership.election().state() == Election.State.LEADER ? lead(report) : null;
+            if (answer == null) {
+                HttpServing.status(exchange, 503);
+            } else {
+                HttpServing.json(exchange, 200, answer);
+            }
+        } catch (BadMessage e) {
+            counters.badMessages++;
+            HttpServing.status(exchange, 400);
+        }
+    }
+
+    // ---- users ----
+
+    public UserApi api() {
+        return api;
+    }
+
+    public boolean healthy() {
+        return !types.isEmpty() && !leadership.aloneWithoutState();
+    }
+
+    Cluster cluster() {
+        return cluster;
+    }
+
+    Election election() {
+        return leadership.election();
+    }
+
+    int writesWaiting() {
+        return committer.waiting();
+    }
+
+    // ---- effects ----
+
+    private boolean mayAct() {
+        return leadership.election().mayAct(loop.now());
+    }
+
+    @Override
+    public void orders(Machine machine, long session, List<Command> commands) {
+        Cluster asking = cluster;
+        if (!mayAct() || machine.address() == null) {
+            loop.after(0, () -> ordersEnded(asking, machine.name, Cluster.OrderOutcome.NOT_SENT, null));
+            return;
+        }
+        counters.orders++;
+        workers.orders(machine.address(), leadership.election().term(), session, commands, loop.now(),
+                (outcome, report) -> ordersEnded(asking, machine.name, outcome, report));
+    }
+
+    private void ordersEnded(Cluster asking, String machine, Cluster.OrderOutcome outcome, MachineReport report) {
+        if (cluster == asking && asking != null) {
+            asking.onOrders(machine, outcome, report, loop.now());
+            if (outcome == Cluster.OrderOutcome.UNANSWERED) {
+                counters.unanswered++;
+            }
+            soon();
+        }
+    }
+
+    private void ifStored(Consumer<Store> what) {
+        if (store != null) {
+            what.accept(store);
+        }
+    }
+
+    @Override
+    public void storeProgress(String job, BitSet done, int tasks) {
+        ifStored(s -> s.progress(job, done, tasks));
+    }
+
+    @Override
+    public void storeDone(String job, long version, int tasks) {
+        ifStored(s -> s.done(job, version, tasks));
+    }
+
+    @Override
+    public void storeMachine(Machine machine) {
+        String zone = zoneName(machine);
+        ifStored(s -> s.machine(machine, zone));
+    }
+
+    private String zoneName(Machine machine) {
+        return cluster.zoneName(machine.zone);
+    }
+
+    @Override
+    public void dropMachine(String machine) {
+        ifStored(s -> s.dropMachine(machine));
+    }
+
+    @Override
+    public void rent(Rental rental) {
+        Cluster asking = cluster;
+        cloud.rent(rental, (names, refused) -> {
+            if (cluster == asking && asking != null) {
+                asking.onRented(rental, names, refused, loop.now());
+                soon();
+            }
+        });
+    }
+
+    @Override
+    public void giveBack(List<String> machines) {
+        Cluster asking = cluster;
+        List<String> names = new ArrayList<>(machines);
+        cloud.giveBack(names, ok -> {
+            if (cluster == asking && asking != null) {
+                if (ok) {
+                    asking.onReturned(names, loop.now());
+                } else {
+                    asking.onReturnFailed(loop.now());
+                }
+                soon();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/daemon/Counters.java
@@ -0,0 +1,12 @@
+package io.kelphoist.daemon;
+
+/** What happened so far, counted on the event loop and read by the metrics. */
+final class Counters {
+    volatile long reports;
+    volatile long relayed;
+    volatile long orders;
+    volatile long unanswered;
+    volatile long badMessages;
+    volatile long bugs;
+    double directReportAt;
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/daemon/Leadership.java
@@ -0,0 +1,251 @@
+package io.kelphoist.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.core.Election;
+import io.kelphoist.peer.PeerCalls;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.Cbor;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Brings the election to the state service and to the other controllers. */
+final class Leadership implements Election.Actions {
+    private static final int HOLD_MS = 8000;
+    private static final int PEER_TIMEOUT_MS = 800;
+
+    /** Told of terms that begin and end here. */
+    interface Listener {
+        void began(long term, long termVersion);
+
+        void ended();
+
+        /** What the leader tells the others with each request for a grant. */
+        ObjectNode news();
+    }
+
+    private final String self;
+    private final StateClient state;
+    private final PeerCalls peers;
+    private final StateClient.Loop loop;
+    private final long leaseMs;
+    private final Listener listener;
+    private final Election election;
+    private final Map<String, Double> askedAt = new HashMap<>();
+    private long termVersion;
+    private long watched = -1;
+    private boolean reading;
+    private long newest = -1;
+    private double peerStateOk = Double.NEGATIVE_INFINITY;
+
+    Leadership(String self, List<String> peerNames, StateClient state, PeerCalls peers, StateClient.Loop loop, long leaseMs, long grantMs,
+               double startedAt, Listener listener) {
+        this.self = self;
+        this.state = state;
+        this.peers = peers;
+        this.loop = loop;
+        this.leaseMs = leaseMs;
+        this.listener = listener;
+        this.election = new Election(self, peerNames, leaseMs / 1000.0, grantMs / 1000.0, startedAt, this);
+        readKeys();
+    }
+
+    Election election() {
+        return election;
+    }
+
+    void tick() {
+        election.tick(loop.now());
+    }
+
+    // ---- following the keys ----
+
+    private void readKeys() {
+        if (reading) {
+            return;
+        }
+        reading = true;
+        state.range(Keys.LEADERSHIP, range -> {
+            reading = false;
+            if (range == null) {
+                loop.after(0.25, this::readKeys);
+                return;
+            }
+            boolean first = watched < 0;
+            watched = Math.max(watched, range.revision());
+            if (first) {
+                watch();
+            }
+            if (range.revision() < newest) {
+                // An older truth than the one acted on, such as from before the key was taken here.
+                return;
+            }
+            newest = range.revision();
+            long lastTerm = 0;
+            JsonNode leader = null;
+            for (JsonNode item : range.items()) {
+                if (item.path("key").asText().equals(Keys.TERM)) {
+                    lastTerm = item.path("value").path("term").asLong();
+                } else if (item.path("key").asText().equals(Keys.LEADER)) {
+                    leader = item.path("value");
+                }
+            }
+            election.onKeys(leader == null ? null : leader.path("node").asText(), leader == null ? 0 : leader.path("term").asLong(),
+                    lastTerm, loop.now());
+        });
+    }
+
+    /** Any change of the keys has them read again: they change seldom, and one reading is one truth. */
+    private void watch() {
+        state.watch(Keys.LEADERSHIP, watched, HOLD_MS, result -> {
+            if (result instanceof StateClient.Done d && d.status() == 200) {
+                watched = Math.max(watched, d.body().path("logbook").asLong(watched));
+                if (d.body().path("events").size() > 0) {
+                    readKeys();
+                }
+                watch();
+                return;
+            }
+            if (result instanceof StateClient.Done d && d.status() == 410) {
+                watched = -1;
+            }
+            loop.after(0.25, () -> {
+                boolean again = watched >= 0;
+                readKeys();
+                if (again) {
+                    watch();
+                }
+            });
+        });
+    }
+
+    // ---- what the election asks for ----
+
+    @Override
+    public void take() {
+        double sentAt = loop.now();
+        state.lease(leaseMs, result -> {
+            if (result instanceof StateClient.Done d && d.status() == 200) {
+                take(d.body().path("tether").asLong(), sentAt);
+            } else {
+                failed(0);
+            }
+        });
+    }
+
+    private void take(long lease, double sentAt) {
+        state.range(Keys.LEADERSHIP, range -> {
+            if (range == null) {
+                failed(lease);
+                return;
+            }
+            long lastTerm = 0;
+            long version = 0;
+            for (JsonNode item : range.items()) {
+                if (item.path("key").asText().equals(Keys.TERM)) {
+                    lastTerm = item.path("value").path("term").asLong();
+                    version = item.path("entry").asLong();
+                } else if (item.path("key").asText().equals(Keys.LEADER)) {
+                    election.onKeys(item.path("value").path("node").asText(), item.path("value").path("term").asLong(), lastTerm, loop.now());
+                    failed(lease);
+                    return;
+                }
+            }
+            long term = lastTerm + 1;
+            ObjectNode value = Cbor.map().put("term", term).put("node", self);
+            state.txn(List.of(new StateClient.Condition(Keys.LEADER, 0), new StateClient.Condition(Keys.TERM, version)),
+                    List.of(new StateClient.Change(Keys.TERM, value, 0), new StateClient.Change(Keys.LEADER, value.deepCopy(), lease)), true,
+                    result -> {
+                        if (result instanceof StateClient.Done d && d.status() == 200) {
+                            taken(term, lease, d.body().path("logbook").asLong(), sentAt);
+                        } else if (result instanceof StateClient.Unsure) {
+                            readBack(term, lease, sentAt);
+                        } else {
+                            failed(lease);
+                        }
+                    });
+        });
+    }
+
+    private void readBack(long term, long lease, double sentAt) {
+        state.get(Keys.LEADER, result -> {
+            if (result instanceof StateClient.Done d && d.status() == 200 && d.body().path("tether").asLong(lease) == lease
+                    && d.body().path("value").path("node").asText().equals(self) && d.body().path("value").path("term").asLong() == term) {
+                // Both keys were written by one transaction, so they share its revision.
+                taken(term, lease, d.body().path("entry").asLong(), sentAt);
+            } else {
+                failed(lease);
+            }
+        });
+    }
+
+    private void taken(long term, long lease, long revision, double sentAt) {
+        termVersion = revision;
+        newest = Math.max(newest, revision);
+        election.onTaken(term, lease, sentAt, loop.now());
+    }
+
+    private void failed(long lease) {
+        if (lease != 0) {
+            state.release(lease);
+        }
+        election.onTakeFailed(loop.now());
+        readKeys();
+    }
+
+    @Override
+    public void renew(long lease) {
+        double sentAt = loop.now();
+        state.renew(lease, result -> {
+            if (result instanceof StateClient.Done d && (d.status() == 200 || d.status() == 404)) {
+                election.onRenewed(lease, d.status() == 200, sentAt, loop.now());
+                if (d.status() == 404) {
+                    readKeys();
+                }
+            }
+        });
+    }
+
+    @Override
+    public void release(long lease) {
+        state.release(lease);
+        loop.after(0.3, this::readKeys);
+    }
+
+    @Override
+    public void askForGrant(String peer, long term, double sentAt) {
+        ObjectNode body = listener.news().put("term", term).put("from", self).put("state_ok", state.failingFor() == 0);
+        peers.call(peer, "/peer/grant", body, PEER_TIMEOUT_MS, answer -> {
+            if (answer != null && answer.status() == 200) {
+                if (answer.body().path("granted").asBoolean()) {
+                    election.onGranted(peer, term, sentAt);
+                }
+                heard(answer.body());
+            }
+        });
+    }
+
+    /** A peer says whether it reaches the state service. */
+    void heard(JsonNode message) {
+        if (message.path("state_ok").asBoolean()) {
+            peerStateOk = loop.now();
+        }
+    }
+
+    /** True if this controller alone seems to have lost the state service. */
+    boolean aloneWithoutState() {
+        return state.failingFor() > 2 && loop.now() - peerStateOk < 2.5;
+    }
+
+    @Override
+    public void began(long term) {
+        listener.began(term, termVersion);
+    }
+
+    @Override
+    public void ended() {
+        listener.ended();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -0,0 +1,51 @@
+package io.kelphoist.daemon;
+
+import io.kelphoist.core.Cluster;
+import io.kelphoist.core.Election;
+import io.kelphoist.core.Machine;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.function.ToDoubleFunction;
+
+/** Metrics in Prometheus' text format. Made at the first scrape: a controller that nobody scrapes pays nothing. */
+final class Metrics {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Controller controller;
+
+    Metrics(Controller controller) {
+        this.controller = controller;
+        Counters c = controller.counters;
+        count("kelphoist.reports", "Reports received from workers", c, x -> x.reports);
+        count("kelphoist.reports.relayed", "Reports relayed to the leader", c, x -> x.relayed);
+        count("kelphoist.orders", "Direct orders sent to workers", c, x -> x.orders);
+        count("kelphoist.orders.unanswered", "Direct orders that nobody answered", c, x -> x.unanswered);
+        count("kelphoist.messages.bad", "Messages that could not be understood", c, x -> x.badMessages);
+        count("kelphoist.errors.unexpected", "Errors that should not happen", c, x -> x.bugs);
+        gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
+        gauge("kelphoist.term", "Last term led here", x -> x.election().term());
+        gauge("kelphoist.jobs", "Unfinished jobs, on the leader", x -> cluster(x, k -> k.jobs().size()));
+        gauge("kelphoist.machines", "Machines, on the leader", x -> cluster(x, k -> k.machines().size()));
+        gauge("kelphoist.machines.up", "Machines that report, on the leader",
+                x -> cluster(x, k -> k.machines().stream().filter(m -> m.state() == Machine.State.UP).count()));
+        gauge("kelphoist.writes.waiting", "Writes that wait for the state service", Controller::writesWaiting);
+    }
+
+    private static double cluster(Controller controller, ToDoubleFunction<Cluster> of) {
+        Cluster cluster = controller.cluster();
+        return cluster == null ? 0 : of.applyAsDouble(cluster);
+    }
+
+    private void count(String name, String help, Counters c, ToDoubleFunction<Counters> of) {
+        FunctionCounter.builder(name, c, of).description(help).register(registry);
+    }
+
+    private void gauge(String name, String help, ToDoubleFunction<Controller> of) {
+        Gauge.builder(name, controller, of).description(help).register(registry);
+    }
+
+    String scrape() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -0,0 +1,229 @@
+package io.kelphoist.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.kelphoist.core.Cluster;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.Machine;
+import io.kelphoist.core.MachineType;
+import io.kelphoist.state.Committer;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.Records;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import io.kelphoist.wire.Codec;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What one term reads and writes at the state service. Every write is conditional on the term. */
+final class Store {
+    private static final Logger LOG = LoggerFactory.getLogger(Store.class);
+    private static final double PATIENCE_S = 20;
+    private static final int HOLD_MS = 8000;
+
+    private final StateClient state;
+    private final Committer committer;
+    private final StateClient.Loop loop;
+    private final LongSupplier wallMs;
+    private final StateClient.Condition term;
+    private final Runnable deposed;
+    private final Runnable changed;
+    private Cluster cluster;
+    private boolean closed;
+
+    Store(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, long termVersion, Runnable deposed,
+          Runnable changed) {
+        this.state = state;
+        this.committer = committer;
+        this.loop = loop;
+        this.wallMs = wallMs;
+        this.term = new StateClient.Condition(Keys.TERM, termVersion);
+        this.deposed = deposed;
+        this.changed = changed;
+    }
+
+    void close() {
+        closed = true;
+    }
+
+    // ---- reading ----
+
+    /** Reads machines, jobs and progress; a part that can't be read is read again. */
+    void load(Cluster into, Runnable loaded) {
+        cluster = into;
+        range(Keys.MACHINES, machines -> {
+            for (JsonNode i : machines.items()) {
+                JsonNode v = i.path("value");
+                into.onMachineLoaded(i.path("key").asText().substring(Keys.MACHINES.length()), v.path("address").asText(),
+                        v.path("type").asText(), v.path("zone").asText(), v.path("spot").asBoolean(), true, loop.now());
+            }
+            range(Keys.JOBS, jobs -> {
+                jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
+                range(Keys.PROGRESS, progress -> {
+                    progress.items().forEach(this::progress);
+                    loaded.run();
+                    watchJobs(jobs.revision());
+                });
+            });
+        });
+    }
+
+    private void range(String prefix, Consumer<StateClient.Range> then) {
+        if (closed) {
+            return;
+        }
+        state.range(prefix, range -> {
+            if (closed) {
+                return;
+            }
+            if (range == null) {
+                loop.after(0.2, () -> range(prefix, then));
+            } else {
+                then.accept(range);
+            }
+        });
+    }
+
+    private void job(String key, JsonNode value, long version) {
+        try {
+            JobRecord record = Records.job(key, value, version);
+            cluster.onJob(record, Math.max(0, (wallMs.getAsLong() - record.acceptedAtMs()) / 1000.0), loop.now());
+        } catch (BadMessage e) {
+            LOG.error("record {}: {}", key, e.getMessage());
+        }
+    }
+
+    private void progress(JsonNode item) {
+        String key = item.path("key").asText();
+        int slash = key.lastIndexOf('/');
+        try {
+            int piece = Integer.parseInt(key.substring(slash + 1));
+            cluster.onProgressLoaded(key.substring(Keys.PROGRESS.length(), slash), Records.progress(item.path("value"), piece));
+        } catch (RuntimeException e) {
+            LOG.error("record {} can't be read", key);
+        }
+    }
+
+    private void watchJobs(long after) {
+        if (closed) {
+            return;
+        }
+        state.watch(Keys.JOBS, after, HOLD_MS, result -> {
+            if (closed) {
+                return;
+            }
+            if (result instanceof StateClient.Done d && d.status() == 200) {
+                for (JsonNode e : d.body().path("events")) {
+                    if (e.has("put")) {
+                        job(e.path("put").asText(), e.path("value"), e.path("entry").asLong());
+                    }
+                }
+                if (d.body().path("events").size() > 0) {
+                    changed.run();
+                }
+                watchJobs(Math.max(after, d.body().path("logbook").asLong(after)));
+            } else if (result instanceof StateClient.Done d && d.status() == 410) {
+                range(Keys.JOBS, jobs -> {
+                    jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
+                    changed.run();
+                    watchJobs(jobs.revision());
+                });
+            } else {
+                loop.after(0.25, () -> watchJobs(after));
+            }
+        });
+    }
+
+    // ---- writing ----
+
+    private void write(List<StateClient.Condition> also, List<StateClient.Change> changes, int bytes, Committer.Done done) {
+        List<StateClient.Condition> conditions = new ArrayList<>(also);
+        conditions.add(term);
+        committer.submit(new Committer.Write(conditions, changes, bytes, loop.now() + PATIENCE_S, true, (outcome, revision) -> {
+            if (!closed) {
+                done.on(outcome, revision);
+                changed.run();
+            }
+        }));
+    }
+
+    /** After a conflict: was it the term, or a record? */
+    private void checkTerm() {
+        state.get(Keys.TERM, result -> {
+            if (!closed && result instanceof StateClient.Done d && d.status() == 200 && d.body().path("entry").asLong() != term.version()) {
+                deposed.run();
+            }
+        });
+    }
+
+    void progress(String job, BitSet done, int tasks) {
+        List<StateClient.Change> changes = new ArrayList<>();
+        for (int piece = 0; piece * Records.PIECE < tasks; piece++) {
+            changes.add(new StateClient.Change(Keys.progress(job, piece), Records.progress(done, piece), 0));
+        }
+        int count = done.cardinality();
+        write(List.of(), changes, 1600 * changes.size(), (outcome, revision) -> {
+            if (outcome == Committer.Outcome.STORED) {
+                cluster.onProgressStored(job, count);
+            } else {
+                cluster.onStoreFailed(job);
+                if (outcome == Committer.Outcome.CONFLICT) {
+                    checkTerm();
+                }
+            }
+        });
+    }
+
+    void done(String job, long version, int tasks) {
+        List<StateClient.Change> changes = new ArrayList<>();
+        changes.add(new StateClient.Change(Keys.job(job), Records.finalJob(JobStatus.DONE), 0));
+        write(List.of(new StateClient.Condition(Keys.job(job), version)), changes, 200, (outcome, revision) -> {
+            if (outcome == Committer.Outcome.STORED) {
+                cluster.onJob(new JobRecord(job, null, JobStatus.DONE, 0, revision), 0, loop.now());
+                dropProgress(job, tasks);
+                return;
+            }
+            // Perhaps it was cancelled, or written already: what is stored decides.
+            state.get(Keys.job(job), result -> {
+                if (closed) {
+                    return;
+                }
+                if (result instanceof StateClient.Done d && d.status() == 200) {
+                    job(Keys.job(job), d.body().path("value"), d.body().path("entry").asLong());
+                }
+                cluster.onStoreFailed(job);
+                checkTerm();
+            });
+        });
+    }
+
+    private void dropProgress(String job, int tasks) {
+        for (int piece = 0; piece * Records.PIECE < tasks; piece++) {
+            write(List.of(), List.of(new StateClient.Change(Keys.progress(job, piece), null, 0)), 100, (outcome, revision) -> { });
+        }
+    }
+
+    void machine(Machine m, String zone) {
+        var value = Cbor.map().put("address", m.address()).put("type", m.type.name()).put("zone", zone).put("spot", m.spot);
+        write(List.of(), List.of(new StateClient.Change(Keys.machine(m.name), value, 0)), 250, (outcome, revision) -> {
+            cluster.onMachineStored(m.name, outcome == Committer.Outcome.STORED);
+            if (outcome == Committer.Outcome.CONFLICT) {
+                checkTerm();
+            }
+        });
+    }
+
+    void dropMachine(String name) {
+        write(List.of(), List.of(new StateClient.Change(Keys.machine(name), null, 0)), 100, (outcome, revision) -> { });
+    }
+
+    void types(List<MachineType> types) {
+        write(List.of(), List.of(new StateClient.Change(Keys.TYPES, Codec.types(types), 0)), 1000, (outcome, revision) -> { });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/wire/BadMessage.java
@@ -0,0 +1,10 @@
+package io.kelphoist.wire;
+
+/** A message that is not what the protocol says. */
+public final class BadMessage extends Exception {
+    private static final long serialVersionUID = 1;
+
+    public BadMessage(String why) {
+        super(why, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/worker/WorkerCalls.java
@@ -0,0 +1,76 @@
+package io.kelphoist.worker;
+
+import io.kelphoist.core.Cluster;
+import io.kelphoist.core.Command;
+import io.kelphoist.core.MachineReport;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import io.kelphoist.wire.Codec;
+import io.kelphoist.wire.HttpCaller;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/** Direct orders to workers, each over a connection of its own. */
+public final class WorkerCalls {
+    /** How an order ended; the report is null where none came. */
+    public interface Ended {
+        void on(Cluster.OrderOutcome outcome, MachineReport report);
+    }
+
+    private static final int TIMEOUT_MS = 2500;
+    private static final double KEEP_S = 40;
+    private final Function<String, HttpCaller> connect;
+    private final Map<String, Line> lines = new HashMap<>();
+
+    private static final class Line {
+        final HttpCaller caller;
+        double used;
+
+        Line(HttpCaller caller) {
+            this.caller = caller;
+        }
+    }
+
+    public WorkerCalls(Function<String, HttpCaller> connect) {
+        this.connect = connect;
+    }
+
+    public void orders(String address, long token, long session, List<Command> commands, double now, Ended ended) {
+        Line line = lines.computeIfAbsent(address, a -> new Line(connect.apply(a)));
+        line.used = now;
+        line.caller.call("POST", "/orders", Cbor.encode(Codec.orders(token, session, commands)), TIMEOUT_MS, reply -> {
+            if (reply instanceof HttpCaller.NotSent) {
+                ended.on(Cluster.OrderOutcome.NOT_SENT, null);
+            } else if (reply instanceof HttpCaller.Answer a && (a.status() == 200 || a.status() == 409)) {
+                answered(a, ended);
+            } else {
+                ended.on(Cluster.OrderOutcome.UNANSWERED, null);
+            }
+        });
+    }
+
+    private static void answered(HttpCaller.Answer a, Ended ended) {
+        MachineReport report;
+        try {
+            report = Codec.report(Cbor.decode(a.body()));
+        } catch (BadMessage e) {
+            ended.on(Cluster.OrderOutcome.UNANSWERED, null);
+            return;
+        }
+        ended.on(a.status() == 200 ? Cluster.OrderOutcome.EXECUTED : Cluster.OrderOutcome.REFUSED, report);
+    }
+
+    /** Closes connections that were not used for a while. */
+    public void sweep(double now) {
+        for (Iterator<Line> i = lines.values().iterator(); i.hasNext();) {
+            Line line = i.next();
+            if (now - line.used > KEEP_S && line.caller.unused()) {
+                line.caller.close();
+                i.remove();
+            }
+        }
+    }
+}
