--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -186,7 +186,7 @@
                 busy++;
             }
         }
-        int headroom = cluster.jobs.isEmpty() ? 0 : Math.max(1, (int) Math.ceil(cluster.policy.headroom() * busy));
+        int headroom = cluster.jobs.isEmpty() || cluster.policy.headroom() == 0 ? 0 : Math.max(1, (int) Math.ceil(cluster.policy.headroom() * busy));
         for (int i = ready; i < headroom; i++) {
             Kind best = null;
             for (MachineType type : cluster.types.values()) {
--- /dev/null
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -0,0 +1,338 @@
+package io.kelphoist.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** One scenario: a line in, a step of the core, and what it must have asked for. Time is what the lines say. */
+final class Scenario implements Effects, Election.Actions {
+    private final List<String> zones = new ArrayList<>();
+    private final List<Team> teams = new ArrayList<>();
+    private final List<MachineType> types = new ArrayList<>();
+    private Cluster cluster;
+    private double now;
+    private long version = 100;
+    private List<Command> answer;
+    private boolean answered;
+    private final Map<String, List<Command>> orders = new TreeMap<>();
+    private final Map<String, Long> attempts = new HashMap<>();
+    private final Set<String> stored = new TreeSet<>();
+    private final List<Rental> rentals = new ArrayList<>();
+    private final Set<String> returned = new TreeSet<>();
+    private final Set<String> recorded = new TreeSet<>();
+    private final Set<String> dropped = new TreeSet<>();
+    private boolean machineStoreWorks = true;
+    private Election election;
+    private final List<String> asked = new ArrayList<>();
+    private final Map<String, Double> grantAskedAt = new HashMap<>();
+    private double renewAskedAt;
+
+    void play(String line) {
+        String[] w = line.split("\\s+");
+        Map<String, String> with = options(w);
+        switch (w[0]) {
+            case "zones" -> zones.addAll(List.of(w).subList(1, w.length));
+            case "type" -> types.add(new MachineType(w[1], amounts(with), number(with, "cache", 100), number(with, "fetch", 1),
+                    number(with, "price", 10), number(with, "spot", 3), number(with, "boot", 30), List.copyOf(zones)));
+            case "team" -> teams.add(new Team(w[1], gpus(number(with, "gpus", 0)), gpus(number(with, "max", 0))));
+            case "term" -> term(Long.parseLong(w[1]));
+            case "at" -> {
+                now = Double.parseDouble(w[1]);
+                if (cluster != null) {
+                    cluster.tick(now);
+                }
+                if (election != null) {
+                    election.tick(now);
+                }
+            }
+            case "job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.ACTIVE, 0, ++version), number(with, "age", 0), now);
+            case "cancel" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.CANCELLED, 0, ++version), 0, now);
+            case "loaded" -> cluster.onMachineLoaded(w[1], w[1] + ":1", types.get(0).name(), with.getOrDefault("zone", zones.get(0)),
+                    with.containsKey("spot"), true, now);
+            case "progress" -> {
+                BitSet done = new BitSet();
+                for (int i = 2; i < w.length; i++) {
+                    done.set(Integer.parseInt(w[i]));
+                }
+                cluster.onProgressLoaded(w[1], done);
+            }
+            case "report" -> {
+                answer = cluster.onReport(report(w, with), now);
+                answered = true;
+                note(answer);
+            }
+            case "order" -> ordered(w, with);
+            case "machine-store" -> machineStoreWorks = w[1].equals("works");
+            case "machine-stored" -> cluster.onMachineStored(w[1], true);
+            case "stored" -> stored(w[1]);
+            case "store-fails" -> {
+                stored.removeIf(s -> s.contains(w[1]));
+                cluster.onStoreFailed(w[1]);
+            }
+            case "rented" -> rented(w);
+            case "gone" -> cluster.onReturned(List.of(w[1]), now);
+            case "listed" -> cluster.onCloudList(List.of(new CloudMachine(w[1], w[1] + ":1", types.get(0).name(), zones.get(0), false,
+                    CloudMachine.CloudState.valueOf(w[2].toUpperCase()), number(with, "age", 1))), now);
+            case "expect" -> expect(w, line);
+            default -> elections(w, with);
+        }
+    }
+
+    // ---- the cluster's side ----
+
+    private void term(long term) {
+        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 30, 8, 30, 5, 3, 20, 15, 0, 40);
+        cluster = new Cluster(policy, this, term, types, now);
+        orders.clear();
+        stored.clear();
+        rentals.clear();
+    }
+
+    private static Map<String, String> options(String[] words) {
+        Map<String, String> with = new HashMap<>();
+        for (String word : words) {
+            int eq = word.indexOf('=');
+            if (eq > 0) {
+                with.put(word.substring(0, eq), word.substring(eq + 1));
+            } else {
+                with.put(word, "");
+            }
+        }
+        return with;
+    }
+
+    private static double number(Map<String, String> with, String name, double otherwise) {
+        return with.containsKey(name) ? Double.parseDouble(with.get(name)) : otherwise;
+    }
+
+    private static Resources amounts(Map<String, String> with) {
+        return new Resources(number(with, "cpus", 32), number(with, "gpus", 4), number(with, "mem", 64));
+    }
+
+    private static Resources gpus(double n) {
+        return new Resources(Double.POSITIVE_INFINITY, n == 0 ? Double.POSITIVE_INFINITY : n, Double.POSITIVE_INFINITY);
+    }
+
+    private JobSpec spec(String id, Map<String, String> with) {
+        return new JobSpec(id, "class", with.getOrDefault("team", teams.get(0).name()),
+                JobKind.valueOf(with.getOrDefault("kind", "array").toUpperCase()),
+                Priority.valueOf(with.getOrDefault("priority", "normal").toUpperCase()), (int) number(with, "tasks", 1),
+                new Resources(number(with, "cpus", 1), number(with, "gpus", 1), number(with, "mem", 1)), null, with.get("zone"),
+                with.containsKey("one-zone"), with.containsKey("spread"), with.containsKey("spot"), with.getOrDefault("image", "img"), 1,
+                60, number(with, "checkpoint", 0), number(with, "save", 0), null);
+    }
+
+    /** report vm-1 SESSION SEQ TOKEN [notice=S] [JOB/TASK=PHASE[:EXIT]][@ATTEMPT]... */
+    private MachineReport report(String[] w, Map<String, String> with) {
+        List<TaskReport> tasks = new ArrayList<>();
+        for (int i = 5; i < w.length; i++) {
+            int eq = w[i].indexOf('=');
+            if (!w[i].startsWith("job-")) {
+                continue;
+            }
+            String task = w[i].substring(0, eq);
+            String[] said = w[i].substring(eq + 1).split("[:@]");
+            int at = w[i].indexOf('@');
+            long attempt = at > 0 ? Long.parseLong(w[i].substring(at + 1)) : attempts.get(task);
+            TaskPhase phase = TaskPhase.valueOf(said[0].toUpperCase());
+            ExitReason exit = phase == TaskPhase.EXITED ? ExitReason.valueOf(said[1].toUpperCase()) : null;
+            int slash = task.indexOf('/');
+            tasks.add(new TaskReport(task.substring(0, slash), Integer.parseInt(task.substring(slash + 1)), attempt, phase, exit, false));
+        }
+        Double notice = with.containsKey("notice") ? Double.valueOf(with.get("notice")) : null;
+        return new MachineReport(w[1], w[1] + ":1", types.get(0).name(), with.getOrDefault("zone", zones.get(0)), with.containsKey("spot"),
+                Long.parseLong(w[2]), Long.parseLong(w[3]), Long.parseLong(w[4]), notice, tasks);
+    }
+
+    /** order vm-1 executed|refused|not_sent|unanswered [SESSION SEQ TOKEN tasks...] */
+    private void ordered(String[] w, Map<String, String> with) {
+        MachineReport report = null;
+        if (w.length > 3) {
+            String[] r = new String[w.length - 1];
+            r[1] = w[1];
+            System.arraycopy(w, 3, r, 2, w.length - 3);
+            report = report(r, with);
+        }
+        orders.remove(w[1]);
+        cluster.onOrders(w[1], Cluster.OrderOutcome.valueOf(w[2].toUpperCase()), report, now);
+    }
+
+    private void stored(String id) {
+        Job job = cluster.jobs.get(id);
+        if (stored.remove("done " + id)) {
+            cluster.onJob(new JobRecord(id, null, JobStatus.DONE, 0, ++version), 0, now);
+        } else {
+            stored.removeIf(s -> s.startsWith("progress " + id));
+            cluster.onProgressStored(id, job.doneCount());
+        }
+    }
+
+    /** rented vm-1...: answers the oldest open request; without names: no capacity; "unsure": no answer. */
+    private void rented(String[] w) {
+        Rental r = rentals.remove(0);
+        List<String> names = List.of(w).subList(1, w.length);
+        if (names.equals(List.of("unsure"))) {
+            cluster.onRented(r, null, false, now);
+        } else {
+            cluster.onRented(r, names.isEmpty() ? null : names, names.isEmpty(), now);
+        }
+    }
+
+    private void expect(String[] w, String line) {
+        switch (w[1]) {
+            case "answer" -> {
+                assertNotNull(answer, "the report was not accepted");
+                assertEquals(rest(w, 2), said(answer));
+            }
+            case "refused" -> {
+                assertEquals(true, answered);
+                assertNull(answer);
+            }
+            case "order" -> assertEquals(rest(w, 3), said(orders.getOrDefault(w[2], List.of())));
+            case "stored" -> assertEquals(rest(w, 2), stored.isEmpty() ? "none" : String.join(" ", stored));
+            case "rent" -> assertEquals(rest(w, 2), rentals.isEmpty() ? "none" : rentals.stream().map(Scenario::said).sorted().reduce((a, b) -> a + ", " + b).get());
+            case "returned" -> assertEquals(rest(w, 2), returned.isEmpty() ? "none" : String.join(" ", returned));
+            case "recorded" -> assertEquals(rest(w, 2), recorded.isEmpty() ? "none" : String.join(" ", recorded));
+            case "recovered" -> assertEquals(Boolean.valueOf(w[2]), cluster.recovered());
+            case "deposed" -> assertEquals(Boolean.valueOf(w[2]), cluster.deposed());
+            case "job" -> assertEquals(w[3], cluster.jobs.containsKey(w[2]) ? cluster.jobs.get(w[2]).state().name().toLowerCase() : "none");
+            case "used" -> assertEquals(Double.parseDouble(w[3]), cluster.teams.get(w[2]).used.gpus(), 1e-9);
+            case "machine" -> assertEquals(w[3], cluster.machines.containsKey(w[2]) ? cluster.machines.get(w[2]).state().name().toLowerCase() : "none");
+            case "may-act" -> assertEquals(Boolean.valueOf(w[2]), election.mayAct(now));
+            case "state" -> assertEquals(w[2], election.state().name().toLowerCase());
+            case "asked" -> {
+                assertEquals(rest(w, 2), asked.isEmpty() ? "none" : String.join(" ", asked));
+                asked.clear();
+            }
+            default -> throw new IllegalArgumentException(line);
+        }
+    }
+
+    private static String rest(String[] w, int from) {
+        return String.join(" ", List.of(w).subList(from, w.length));
+    }
+
+    private static String said(Rental r) {
+        return r.count() + " " + r.zone() + (r.spot() ? " spot" : "");
+    }
+
+    private static String said(List<Command> calls) {
+        List<String> words = new ArrayList<>();
+        for (Command c : calls) {
+            String verb = c instanceof Command.Start ? "start" : c instanceof Command.Stop s ? "stop" + (s.graceS() > 0 ? "+" : "") : "forget";
+            words.add(verb + " " + c.job() + "/" + c.task());
+        }
+        words.sort(Comparator.comparing((String s) -> s.startsWith("stop")));
+        return words.isEmpty() ? "none" : String.join(", ", words);
+    }
+
+    private void note(List<Command> calls) {
+        if (calls != null) {
+            for (Command c : calls) {
+                if (c instanceof Command.Start) {
+                    attempts.put(c.job() + "/" + c.task(), c.attempt());
+                }
+            }
+        }
+    }
+
+    @Override
+    public void orders(Machine machine, long session, List<Command> commands) {
+        orders.put(machine.name, commands);
+        note(commands);
+    }
+
+    @Override
+    public void storeProgress(String job, BitSet done, int tasks) {
+        stored.add("progress " + job + " " + done.cardinality());
+    }
+
+    @Override
+    public void storeDone(String job, long jobVersion, int tasks) {
+        stored.add("done " + job);
+    }
+
+    @Override
+    public void storeMachine(Machine machine) {
+        recorded.add(machine.name);
+        if (machineStoreWorks) {
+            cluster.onMachineStored(machine.name, true);
+        }
+    }
+
+    @Override
+    public void dropMachine(String machine) {
+        dropped.add(machine);
+        recorded.remove(machine);
+    }
+
+    @Override
+    public void rent(Rental rental) {
+        rentals.add(rental);
+    }
+
+    @Override
+    public void giveBack(List<String> machines) {
+        returned.addAll(machines);
+    }
+
+    // ---- the election's side ----
+
+    private void elections(String[] w, Map<String, String> with) {
+        switch (w[0]) {
+            case "election" -> election = new Election(w[1], List.of(with.get("peers").split(",")), number(with, "lease", 3),
+                    number(with, "grant", 2.5), now, this);
+            case "keys" -> election.onKeys(w[1].equals("absent") ? null : w[1], w.length > 2 && !w[1].equals("absent") ? Long.parseLong(w[2]) : 0,
+                    w.length > 2 ? Long.parseLong(w[2]) : 0, now);
+            case "taken" -> election.onTaken(Long.parseLong(w[1]), 7, now - number(with, "ago", 0), now);
+            case "take-fails" -> election.onTakeFailed(now);
+            case "renewed" -> election.onRenewed(7, !with.containsKey("ended"), renewAskedAt, now);
+            case "granted" -> election.onGranted(w[1], Long.parseLong(w[2]), grantAskedAt.get(w[1]));
+            case "asks" -> assertEquals(w[3], election.grant(Long.parseLong(w[2]), now) ? "yes" : "no");
+            case "resign" -> election.resign("test", now);
+            default -> throw new IllegalArgumentException(w[0]);
+        }
+    }
+
+    @Override
+    public void take() {
+        asked.add("take");
+    }
+
+    @Override
+    public void renew(long lease) {
+        asked.add("renew");
+        renewAskedAt = now;
+    }
+
+    @Override
+    public void release(long lease) {
+        asked.add("release");
+    }
+
+    @Override
+    public void askForGrant(String peer, long term, double sentAt) {
+        asked.add("ask-" + peer);
+        grantAskedAt.put(peer, sentAt);
+    }
+
+    @Override
+    public void began(long term) {
+        asked.add("began");
+    }
+
+    @Override
+    public void ended() {
+        asked.add("ended");
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kelphoist/core/ScenarioTest.java
@@ -0,0 +1,40 @@
+package io.kelphoist.core;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Plays every file below {@code scenarios/}; their words are listed in docs/SCENARIOS.md. */
+class ScenarioTest {
+    private static final Path DIR = Path.of("src/test/resources/scenarios");
+
+    static Stream<String> files() throws IOException {
+        try (Stream<Path> found = Files.list(DIR)) {
+            List<String> names = found.map(p -> p.getFileName().toString()).filter(n -> n.endsWith(".txt")).sorted().toList();
+            return names.stream();
+        }
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("files")
+    void plays(String file) throws IOException {
+        Scenario scenario = new Scenario();
+        int number = 0;
+        for (String line : Files.readAllLines(DIR.resolve(file))) {
+            number++;
+            String text = line.strip();
+            if (text.isEmpty() || text.startsWith("#")) {
+                continue;
+            }
+            try {
+                scenario.play(text);
+            } catch (AssertionError | RuntimeException e) {
+                throw new AssertionError(file + ":" + number + ": " + text + "\n  " + e, e);
+            }
+        }
+    }
+}
