Take-over after one round of reports: records say what may be on a silent machine

The record of a machine now lists what may be on it, stored before a start is sent; after one round of reports only what is on record at silent machines is held back.

--- a/src/main/java/io/kelphoist/api/UserApi.java
+++ b/src/main/java/io/kelphoist/api/UserApi.java
@@ -208,7 +208,7 @@
                 answer(exchange, k.record());
             } else {
                 committer.submit(new Committer.Write(List.of(new StateClient.Condition(Keys.job(id), k.record().version())),
-                        List.of(new StateClient.Change(Keys.job(id), Records.finalJob(JobStatus.CANCELLED), 0)), 200,
+                        List.of(new StateClient.Change(Keys.job(id), Records.cancelled(k.record()), 0)), 1000,
                         loop.now() + ACCEPT_S, false, (outcome, revision) -> {
                             switch (outcome) {
                                 case STORED -> HttpServing.cbor(exchange, 200, Codec.accepted(id, "aborted"));
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -31,6 +31,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
     /** Beyond the lease, for the steps in which timers fire. */
     private static final double TIMER_MARGIN_S = 0.25;
+    /** Reports come every {@code reportS}, give or take a quarter. */
+    private static final double REPORT_ROUND = 1.25;
 
     final Policy policy;
     final Effects effects;
@@ -45,11 +47,11 @@
     final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
     /** Machines that were confirmed gone. Names are never used twice, late messages of them mean nothing. */
     private final Object2ObjectOpenHashMap<String, Boolean> gone = new Object2ObjectOpenHashMap<>();
-    private final Map<Machine, List<Command>> outbox = new LinkedHashMap<>();
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
     private boolean recovered;
+    private boolean loading = true;
     private boolean deposed;
 
     public Cluster(Policy policy, Effects effects, long term, Collection<MachineType> types, double now) {
@@ -86,7 +88,7 @@
         return deposed;
     }
 
-    /** True once every machine that may run tasks of an earlier term has reported or surely lost its lease. */
+    /** True once the take-over's round of reports is over. */
     public boolean recovered() {
         return recovered;
     }
@@ -105,7 +107,7 @@
     public void onJob(JobRecord record, double ageS, double now) {
         Job job = jobs.get(record.id());
         if (job == null) {
-            if (record.status().isFinal() || record.spec() == null) {
+            if (record.status() == JobStatus.DONE || record.spec() == null || record.status().isFinal() && !loading) {
                 return;
             }
             TeamState team = teams.get(record.spec().team());
@@ -117,7 +119,11 @@
             if (image == imageGb.size()) {
                 imageGb.add(record.spec().imageGb());
             }
-            jobs.put(record.id(), new Job(record.spec(), team, image, zones, now - ageS, record.version(), now));
+            job = new Job(record.spec(), team, image, zones, now - ageS, record.version(), now);
+            if (record.status() == JobStatus.CANCELLED) {
+                job.to(Job.State.CANCELLED);
+            }
+            jobs.put(record.id(), job);
             return;
         }
         if (record.version() < job.version) {
@@ -169,25 +175,45 @@
         }
     }
 
+    /**
+     * All that was stored is read. Of the cancelled jobs only those matter whose tasks may still be somewhere: they
+     * count until they are gone.
+     */
+    public void onLoaded() {
+        loading = false;
+        jobs.values().removeIf(job -> job.state() == Job.State.CANCELLED && job.at.isEmpty());
+    }
+
     // ---- machines ----
 
-    /** A machine as an earlier term recorded it. */
-    public void onMachineLoaded(String name, String address, String type, String zone, boolean spot, boolean mayRun, double now) {
+    /**
+     * A machine as an earlier term recorded it, after the jobs. Until it reports, or its lease has surely ended, the
+     * tasks on record are presumed to be there: nothing else can be, as no start is sent before it is on record.
+     */
+    public void onMachineLoaded(String name, String address, String type, String zone, boolean spot, List<TaskRef> tasks, double now) {
         MachineType t = types.get(type);
         if (t == null || machines.containsKey(name)) {
             return;
         }
-        Machine m = new Machine(name, address, t, zones.of(zone), spot, mayRun ? Machine.State.JOINING : Machine.State.BOOTING, now);
-        m.mayRun = mayRun;
-        m.recorded = mayRun;
+        Machine m = new Machine(name, address, t, zones.of(zone), spot, Machine.State.JOINING, now);
+        m.hasRecord = true;
         machines.put(name, m);
+        for (TaskRef task : tasks) {
+            Job job = jobs.get(task.job());
+            if (job != null && task.task() < job.spec.tasks() && !job.done.get(task.task())) {
+                Placement p = new Placement(job, task.task(), Placement.PRESUMED, m, 0, now);
+                m.placements.add(p);
+                count(p);
+            }
+        }
     }
 
+    /** The outcome of {@link Effects#storeMachine}. */
     public void onMachineStored(String name, boolean stored) {
         Machine m = machines.get(name);
         if (m != null) {
-            m.recording = false;
-            m.recorded |= stored;
+            m.recording.forEach(p -> p.recorded |= stored);
+            m.recording = List.of();
         }
     }
 
@@ -254,16 +280,30 @@
             m.takenAt = now + report.noticeS();
             LOG.info("machine {} will be taken in {} s", m.name, report.noticeS());
         }
-        record(m);
         match(m, report, now);
         return m;
     }
 
+    /**
+     * Puts on record what may be on the machine, before any start is sent. What an earlier record said and is proven
+     * gone is left out, so that a record never grows old.
+     */
     private void record(Machine m) {
-        if (m.state().reports() && !m.recorded && !m.recording) {
-            m.recording = true;
-            m.mayRun = true;
-            effects.storeMachine(m);
+        if (!m.recording.isEmpty()) {
+            return;
+        }
+        List<Placement> all = new ArrayList<>();
+        boolean news = false;
+        for (Placement p : m.placements) {
+            if (p.state() != Placement.State.EXITED || p.dangling || p.inFlight) {
+                all.add(p);
+                news |= !p.recorded;
+            }
+        }
+        if (news) {
+            m.recording = all;
+            m.hasRecord = true;
+            effects.storeMachine(m, all.stream().map(p -> new TaskRef(p.job.spec.id(), p.task)).toList());
         }
     }
 
@@ -280,7 +320,8 @@
 
     private void endSession(Machine m, long next, double now) {
         for (Placement p : new ArrayList<>(m.placements)) {
-            if (p.session < next) {
+            // What a record names is presumed until the machine has seen our term: nobody knows its session.
+            if (p.session < next && !p.presumed()) {
                 vanish(p, now);
             }
         }
@@ -307,7 +348,9 @@
             if (listed) {
                 continue;
             }
-            if (p.state() == Placement.State.SENT) {
+            if (p.presumed()) {
+                vanish(p, now);
+            } else if (p.state() == Placement.State.SENT) {
                 // Not there yet. A start in an answer is executed before the next report or never; an order
                 // without an answer may come at any time, so such an attempt stays until it shows up.
                 if (p.stopping() && !p.dangling && !p.inFlight) {
@@ -341,6 +384,13 @@
         if (t.phase() == TaskPhase.EXITED) {
             return p;
         }
+        p.recorded = true;
+        p.startSent = true;
+        Placement known = job.at.get(t.task());
+        if (known != null && known.presumed()) {
+            // Seen here, so it is not there: a task is never on two machines.
+            vanish(known, now);
+        }
         boolean welcome = job.active() && !job.done.get(t.task()) && !job.at.containsKey(t.task())
                 && (job.spec.kind() != JobKind.GANG || job.at.isEmpty() || job.gangAttempt == t.attempt());
         if (welcome && job.spec.kind() == JobKind.GANG) {
@@ -377,7 +427,10 @@
         job.perZone[p.machine.zone]--;
         if (job.at.get(p.task) == p) {
             job.at.remove(p.task);
-            if (job.active() && !job.done.get(p.task)) {
+            Placement other = another(job, p.task);
+            if (other != null) {
+                job.at.put(p.task, other);
+            } else if (job.active() && !job.done.get(p.task)) {
                 if (job.pending.isEmpty()) {
                     job.waitingSince = now;
                 }
@@ -396,6 +449,18 @@
         }
     }
 
+    /** Another attempt at a task that is or may be somewhere: it must be gone before the task is started again. */
+    private Placement another(Job job, int task) {
+        for (Machine m : machines.values()) {
+            for (Placement p : m.placements) {
+                if (p.counted && p.job == job && p.task == task) {
+                    return p;
+                }
+            }
+        }
+        return null;
+    }
+
     private void vanish(Placement p, double now) {
         if (p.state() == Placement.State.GONE) {
             return;
@@ -510,6 +575,9 @@
     private List<Command> commandsFor(Machine m, MachineReport report, double now) {
         List<Command> calls = new ArrayList<>();
         for (Placement p : m.placements) {
+            if (p.presumed()) {
+                continue;
+            }
             String job = p.job.spec.id();
             if (p.state() == Placement.State.EXITED) {
                 if (forgettable(p)) {
@@ -518,11 +586,14 @@
                 continue;
             }
             // A wanted stop does not end an attempt that may yet arrive: it is started once more, and then stopped.
-            if (p.state() == Placement.State.SENT && (!p.stopping() || p.dangling || p.inFlight)) {
+            boolean mayArrive = p.dangling || p.inFlight;
+            if (p.state() == Placement.State.SENT && p.recorded && (!p.stopping() || mayArrive)) {
                 calls.add(new Command.Start(job, p.task, p.attempt));
+                p.startSent = true;
             }
-            if (p.stopping() && (p.state() != Placement.State.SENT || p.dangling || p.inFlight)) {
+            if (p.stopping() && (p.state() != Placement.State.SENT || mayArrive)) {
                 calls.add(new Command.Stop(job, p.task, p.attempt, p.stopGrace));
+                p.stopSent = true;
             }
         }
         for (TaskReport t : report.tasks()) {
@@ -532,19 +603,17 @@
                         : new Command.Stop(t.job(), t.task(), t.attempt(), 0));
             }
         }
-        outbox.remove(m);
         return calls;
     }
 
     // ---- orders ----
 
-    /** Starts a task. Everything counts from here on. */
+    /** Starts a task. Everything counts from here on; the order goes out once it is on record. */
     void start(Job job, int task, Machine m, long attempt, double now) {
         Placement p = new Placement(job, task, attempt, m, m.session, now);
         m.placements.add(p);
         count(p);
         LOG.debug("start {}/{} attempt {} on {}", job.spec.id(), task, attempt, m.name);
-        outbox.computeIfAbsent(m, k -> new ArrayList<>()).add(new Command.Start(job.spec.id(), task, attempt));
     }
 
     /** Attempts hold the term, so that no two of them are ever the same. */
@@ -553,33 +622,44 @@
     }
 
     void stop(Placement p, double grace, double now) {
-        if (!p.state().occupies() || p.stopping() && p.stopGrace <= grace) {
+        if (!p.state().occupies() || p.presumed() || p.stopping() && p.stopGrace <= grace) {
+            return;
+        }
+        if (p.state() == Placement.State.SENT && !p.startSent) {
+            // Nobody was told yet.
+            vanish(p, now);
             return;
         }
         p.stopGrace = grace;
         p.stopAt = now;
-        outbox.computeIfAbsent(p.machine, k -> new ArrayList<>())
-                .add(new Command.Stop(p.job.spec.id(), p.task, p.attempt, grace));
+        p.stopSent = false;
     }
 
-    /** Sends what was decided straight to the workers, one order at a time each; the rest goes with answers. */
+    /** Sends what was decided straight to the workers, one order at a time each; answers repeat it. */
     private void flush(double now) {
-        var entries = outbox.entrySet().iterator();
-        while (entries.hasNext()) {
-            var e = entries.next();
-            Machine m = e.getKey();
+        for (Machine m : machines.values()) {
             if (m.ordersInFlight || now < m.ordersRetryAt || !m.state().reports()) {
                 continue;
             }
-            m.ordersInFlight = true;
+            List<Command> calls = new ArrayList<>();
             for (Placement p : m.placements) {
-                if (p.state() == Placement.State.SENT) {
+                if (p.presumed() || !p.state().occupies()) {
+                    continue;
+                }
+                if (p.state() == Placement.State.SENT && p.recorded && !p.startSent && !p.stopping()) {
+                    p.startSent = true;
                     p.inFlight = true;
+                    calls.add(new Command.Start(p.job.spec.id(), p.task, p.attempt));
                 }
+                if (p.stopping() && !p.stopSent && p.startSent) {
+                    p.stopSent = true;
+                    calls.add(new Command.Stop(p.job.spec.id(), p.task, p.attempt, p.stopGrace));
+                }
+            }
+            if (!calls.isEmpty()) {
+                m.ordersInFlight = true;
+                effects.orders(m, m.session, calls);
             }
-            List<Command> calls = e.getValue();
-            entries.remove();
-            effects.orders(m, m.session, List.copyOf(calls));
         }
     }
 
@@ -632,7 +712,6 @@
         for (Placement p : new ArrayList<>(m.placements)) {
             vanish(p, now);
         }
-        outbox.remove(m);
     }
 
     /** The return is unsure; it is asked for again. */
@@ -648,8 +727,7 @@
             for (Placement p : new ArrayList<>(m.placements)) {
                 vanish(p, now);
             }
-            outbox.remove(m);
-            if (m.recorded || m.recording || m.mayRun) {
+            if (m.hasRecord) {
                 effects.dropMachine(name);
             }
         }
@@ -662,7 +740,6 @@
         for (Machine m : new ArrayList<>(machines.values())) {
             expire(m, now);
             notice(m, now);
-            record(m);
             if (m.heldFor != null && (now >= m.heldUntil || !m.heldFor.active() || m.heldFor.pending.isEmpty())) {
                 m.heldFor = null;
             }
@@ -678,17 +755,26 @@
             allocator.run(now);
             fleet.run(allocator.unplaced(), now);
         }
+        machines.values().forEach(this::record);
         flush(now);
     }
 
+    /**
+     * Take-over: one full round of reports before anything is offered. A machine that does not report within it is not
+     * waited for any longer: what is on its record counts as running there until its lease has surely ended.
+     */
     private boolean recover(double now) {
+        int silent = 0;
         for (Machine m : machines.values()) {
-            if (m.mayRun && m.state() == Machine.State.JOINING) {
-                return false;
+            if (m.hasRecord && m.state() == Machine.State.JOINING) {
+                silent++;
             }
         }
-        LOG.info("term {}: take-over complete after {} s, {} machines, {} jobs", term, Math.round((now - startedAt) * 10) / 10.0,
-                machines.size(), jobs.size());
+        if (silent > 0 && now < startedAt + REPORT_ROUND * policy.reportS()) {
+            return false;
+        }
+        LOG.info("term {}: take-over complete after {} s, {} machines ({} silent), {} jobs", term,
+                Math.round((now - startedAt) * 10) / 10.0, machines.size(), silent, jobs.size());
         return true;
     }
 
@@ -710,12 +796,13 @@
         for (Placement p : new ArrayList<>(m.placements)) {
             vanish(p, now);
         }
-        outbox.remove(m);
         if (m.to(Machine.State.LOST, now)) {
             // Nothing runs there, so the next term need not wait for it either.
-            effects.dropMachine(m.name);
-            m.recorded = false;
-            m.mayRun = false;
+            if (m.hasRecord) {
+                effects.dropMachine(m.name);
+                m.hasRecord = false;
+            }
+            m.recording = List.of();
             m.forgetImages();
         }
     }
--- a/src/main/java/io/kelphoist/core/JobRecord.java
+++ b/src/main/java/io/kelphoist/core/JobRecord.java
@@ -1,7 +1,7 @@
 package io.kelphoist.core;
 
 /**
- * A job as stored. {@code spec} is dropped once the job is final.
+ * A job as stored. {@code spec} is dropped once the job is done.
  *
  * @param version revision of the record's last change at the state service
  */
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -10,7 +10,7 @@
     public enum State {
         /** Rented, its worker has not reported yet. */
         BOOTING,
-        /** Known from a record or an unconfirmed report; has not acknowledged our term. */
+        /** Known from a record or a report; has not acknowledged our term. */
         JOINING,
         /** Reported under our term. */
         UP,
@@ -34,11 +34,10 @@
     public final boolean spot;
     String address;
     private State state;
-    /** Take-over waits for machines that may run tasks of an earlier term. */
-    boolean mayRun;
-    /** The record that it may run tasks is stored. */
-    boolean recorded;
-    boolean recording;
+    /** The state service has, or may have, a record of what may be on it. */
+    boolean hasRecord;
+    /** What the record that is being written holds; empty: none is. */
+    List<Placement> recording = List.of();
     long session;
     long seq;
     /** Sessions up to this one are over, whatever late messages say. */
@@ -110,7 +109,7 @@
     }
 
     boolean takesWork(double now) {
-        return state == State.UP && recorded && takenAt == Double.POSITIVE_INFINITY;
+        return state == State.UP && takenAt == Double.POSITIVE_INFINITY;
     }
 
     boolean heldForOther(Job job, double now) {
--- a/src/main/java/io/kelphoist/core/Placement.java
+++ b/src/main/java/io/kelphoist/core/Placement.java
@@ -21,6 +21,8 @@
 
     /** Asked of {@link #stopGrace} while nobody wants the task stopped. */
     static final double NO_STOP = -1;
+    /** The attempt of a task that an earlier term's record names, while its machine has not reported. */
+    static final long PRESUMED = -1;
 
     final Job job;
     final int task;
@@ -33,6 +35,11 @@
     boolean dangling;
     /** A direct order with its start waits for its answer. */
     boolean inFlight;
+    /** The machine's record at the state service holds it. */
+    boolean recorded;
+    /** The start was sent at least once, by whatever way. */
+    boolean startSent;
+    boolean stopSent;
     double stopGrace = NO_STOP;
     double stopAt;
     final double sentAt;
@@ -46,6 +53,11 @@
         this.machine = machine;
         this.session = session;
         this.sentAt = now;
+        this.recorded = attempt == PRESUMED;
+    }
+
+    boolean presumed() {
+        return attempt == PRESUMED;
     }
 
     public State state() {
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -14,6 +14,7 @@
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
 import io.kelphoist.core.Rental;
+import io.kelphoist.core.TaskRef;
 import io.kelphoist.peer.PeerCalls;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
@@ -500,13 +501,9 @@
     }
 
     @Override
-    public void storeMachine(Machine machine) {
-        String zone = zoneName(machine);
-        ifStored(s -> s.machine(machine, zone));
-    }
-
-    private String zoneName(Machine machine) {
-        return cluster.zoneName(machine.zone);
+    public void storeMachine(Machine machine, List<TaskRef> tasks) {
+        String zone = cluster.zoneName(machine.zone);
+        ifStored(s -> s.machine(machine, zone, tasks));
     }
 
     @Override
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -1,11 +1,14 @@
 package io.kelphoist.daemon;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineType;
+import io.kelphoist.core.TaskRef;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
@@ -15,7 +18,9 @@
 import io.kelphoist.wire.Codec;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -36,6 +41,8 @@
     private final Runnable changed;
     private Cluster cluster;
     private boolean closed;
+    /** Last known versions of the keys that only leaders write. */
+    private final Map<String, Long> versions = new HashMap<>();
 
     Store(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, long termVersion, Runnable deposed,
           Runnable changed) {
@@ -57,16 +64,13 @@
     /** Reads machines, jobs and progress; a part that can't be read is read again. */
     void load(Cluster into, Runnable loaded) {
         cluster = into;
-        range(Keys.MACHINES, machines -> {
-            for (JsonNode i : machines.items()) {
-                JsonNode v = i.path("value");
-                into.onMachineLoaded(i.path("key").asText().substring(Keys.MACHINES.length()), v.path("address").asText(),
-                        v.path("type").asText(), v.path("zone").asText(), v.path("spot").asBoolean(), true, loop.now());
-            }
-            range(Keys.JOBS, jobs -> {
-                jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
-                range(Keys.PROGRESS, progress -> {
-                    progress.items().forEach(this::progress);
+        range(Keys.JOBS, jobs -> {
+            jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
+            range(Keys.PROGRESS, progress -> {
+                progress.items().forEach(this::progress);
+                range(Keys.MACHINES, machines -> {
+                    machines.items().forEach(this::machine);
+                    into.onLoaded();
                     loaded.run();
                     watchJobs(jobs.revision());
                 });
@@ -74,6 +78,24 @@
         });
     }
 
+    private void machine(JsonNode item) {
+        String key = item.path("key").asText();
+        JsonNode v = item.path("value");
+        List<TaskRef> tasks = new ArrayList<>();
+        for (JsonNode t : v.path("tasks")) {
+            String name = t.asText();
+            int slash = name.lastIndexOf('/');
+            try {
+                tasks.add(new TaskRef(name.substring(0, slash), Integer.parseInt(name.substring(slash + 1))));
+            } catch (RuntimeException e) {
+                LOG.error("record {}: {} is not a task", key, name);
+            }
+        }
+        versions.put(key, item.path("entry").asLong());
+        cluster.onMachineLoaded(key.substring(Keys.MACHINES.length()), v.path("address").asText(), v.path("type").asText(),
+                v.path("zone").asText(), v.path("spot").asBoolean(), tasks, loop.now());
+    }
+
     private void range(String prefix, Consumer<StateClient.Range> then) {
         if (closed) {
             return;
@@ -101,6 +123,7 @@
 
     private void progress(JsonNode item) {
         String key = item.path("key").asText();
+        versions.put(key, item.path("entry").asLong());
         int slash = key.lastIndexOf('/');
         try {
             int piece = Integer.parseInt(key.substring(slash + 1));
@@ -162,27 +185,63 @@
         });
     }
 
-    void progress(String job, BitSet done, int tasks) {
-        List<StateClient.Change> changes = new ArrayList<>();
-        for (int piece = 0; piece * Records.PIECE < tasks; piece++) {
-            changes.add(new StateClient.Change(Keys.progress(job, piece), Records.progress(done, piece), 0));
-        }
-        int count = done.cardinality();
-        write(List.of(), changes, 1600 * changes.size(), (outcome, revision) -> {
-            if (outcome == Committer.Outcome.STORED) {
-                cluster.onProgressStored(job, count);
+    /**
+     * Puts or deletes (null) a key that only leaders write. A transaction can be applied late, and must not bring an
+     * older value back: each write is conditional on the version that was last known, which is read again when in
+     * doubt.
+     */
+    private void own(String key, ObjectNode value, int bytes, Consumer<Boolean> stored) {
+        write(List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)), bytes,
+                (outcome, revision) -> {
+                    if (outcome == Committer.Outcome.STORED) {
+                        versions.put(key, value == null ? 0 : revision);
+                        stored.accept(true);
+                    } else if (outcome == Committer.Outcome.REFUSED) {
+                        stored.accept(false);
+                    } else {
+                        learn(key, () -> stored.accept(false));
+                    }
+                });
+    }
+
+    private void learn(String key, Runnable then) {
+        checkTerm();
+        state.get(key, result -> {
+            if (closed) {
+                return;
+            }
+            if (result instanceof StateClient.Done d && (d.status() == 200 || d.status() == 404)) {
+                versions.put(key, d.status() == 200 ? d.body().path("entry").asLong() : 0L);
+                then.run();
+                changed.run();
             } else {
-                cluster.onStoreFailed(job);
-                if (outcome == Committer.Outcome.CONFLICT) {
-                    checkTerm();
-                }
+                loop.after(0.2, () -> learn(key, then));
             }
         });
     }
 
+    void progress(String job, BitSet done, int tasks) {
+        int pieces = (tasks + Records.PIECE - 1) / Records.PIECE;
+        int count = done.cardinality();
+        int[] left = {pieces};
+        boolean[] failed = {false};
+        for (int piece = 0; piece < pieces; piece++) {
+            own(Keys.progress(job, piece), Records.progress(done, piece), 1600, ok -> {
+                failed[0] |= !ok;
+                if (--left[0] == 0) {
+                    if (failed[0]) {
+                        cluster.onStoreFailed(job);
+                    } else {
+                        cluster.onProgressStored(job, count);
+                    }
+                }
+            });
+        }
+    }
+
     void done(String job, long version, int tasks) {
         List<StateClient.Change> changes = new ArrayList<>();
-        changes.add(new StateClient.Change(Keys.job(job), Records.finalJob(JobStatus.DONE), 0));
+        changes.add(new StateClient.Change(Keys.job(job), Records.done(), 0));
         write(List.of(new StateClient.Condition(Keys.job(job), version)), changes, 200, (outcome, revision) -> {
             if (outcome == Committer.Outcome.STORED) {
                 cluster.onJob(new JobRecord(job, null, JobStatus.DONE, 0, revision), 0, loop.now());
@@ -205,22 +264,25 @@
 
     private void dropProgress(String job, int tasks) {
         for (int piece = 0; piece * Records.PIECE < tasks; piece++) {
-            write(List.of(), List.of(new StateClient.Change(Keys.progress(job, piece), null, 0)), 100, (outcome, revision) -> { });
+            String key = Keys.progress(job, piece);
+            if (versions.getOrDefault(key, 0L) != 0) {
+                own(key, null, 100, ok -> versions.remove(key));
+            }
         }
     }
 
-    void machine(Machine m, String zone) {
-        var value = Cbor.map().put("address", m.address()).put("type", m.type.name()).put("zone", zone).put("spot", m.spot);
-        write(List.of(), List.of(new StateClient.Change(Keys.machine(m.name), value, 0)), 250, (outcome, revision) -> {
-            cluster.onMachineStored(m.name, outcome == Committer.Outcome.STORED);
-            if (outcome == Committer.Outcome.CONFLICT) {
-                checkTerm();
-            }
-        });
+    void machine(Machine m, String zone, List<TaskRef> tasks) {
+        ObjectNode value = Cbor.map().put("address", m.address()).put("type", m.type.name()).put("zone", zone).put("spot", m.spot);
+        ArrayNode names = value.putArray("tasks");
+        tasks.forEach(t -> names.add(t.job() + "/" + t.task()));
+        own(Keys.machine(m.name), value, 250 + 30 * tasks.size(), ok -> cluster.onMachineStored(m.name, ok));
     }
 
     void dropMachine(String name) {
-        write(List.of(), List.of(new StateClient.Change(Keys.machine(name), null, 0)), 100, (outcome, revision) -> { });
+        String key = Keys.machine(name);
+        if (versions.getOrDefault(key, 0L) != 0) {
+            own(key, null, 100, ok -> { });
+        }
     }
 
     void types(List<MachineType> types) {
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -13,6 +13,7 @@
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.Resources;
 import io.kelphoist.core.TaskPhase;
+import io.kelphoist.core.TaskRef;
 import io.kelphoist.core.TaskReport;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
@@ -94,6 +95,7 @@
         cluster.onRented(new Rental("r", "m", "z", false, 1), List.of("vm-1"), false, 1);
         MachineReport report = new MachineReport("vm-1", "127.0.0.1:1", "m", "z", false, 1, 1, 1, null, List.of());
         cluster.onReport(report, 2);
+        cluster.tick(3);
         cluster.onMachineStored("vm-1", true);
         cluster.tick(3);
         for (Command c : cluster.onReport(new MachineReport("vm-1", "127.0.0.1:1", "m", "z", false, 1, 2, 1, null, List.of()), 4)) {
@@ -117,7 +119,7 @@
         public void storeDone(String job, long version, int tasks) { }
 
         @Override
-        public void storeMachine(Machine machine) { }
+        public void storeMachine(Machine machine, List<TaskRef> tasks) { }
 
         @Override
         public void dropMachine(String machine) { }
--- a/src/main/java/io/kelphoist/state/Records.java
+++ b/src/main/java/io/kelphoist/state/Records.java
@@ -24,8 +24,15 @@
         return m;
     }
 
-    public static ObjectNode finalJob(JobStatus status) {
-        return Cbor.map().put("status", status == JobStatus.DONE ? "done" : "cancelled");
+    public static ObjectNode done() {
+        return Cbor.map().put("status", "done");
+    }
+
+    /** Keeps the description: its tasks count until they are gone, also for the next leader. */
+    public static ObjectNode cancelled(JobRecord job) {
+        ObjectNode m = Cbor.map().put("status", "cancelled").put("at", job.acceptedAtMs());
+        m.set("spec", Codec.job(job.spec()));
+        return m;
     }
 
     /** A job's record; {@code key} with its prefix. */
@@ -36,7 +43,7 @@
             case "cancelled" -> JobStatus.CANCELLED;
             default -> throw new BadMessage("status of " + key + " is unknown");
         };
-        JobSpec spec = status.isFinal() ? null : Codec.job(value.path("spec"));
+        JobSpec spec = status == JobStatus.DONE ? null : Codec.job(value.path("spec"));
         return new JobRecord(key.substring(Keys.JOBS.length()), spec, status, value.path("at").asLong(), version);
     }
 
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /** One scenario: a line in, a step of the core, and what it must have asked for. Time is what the lines say. */
 final class Scenario implements Effects, Election.Actions {
@@ -57,8 +58,10 @@
             }
             case "job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.ACTIVE, 0, ++version), number(with, "age", 0), now);
             case "cancel" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.CANCELLED, 0, ++version), 0, now);
+            case "cancelled-job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.CANCELLED, 0, ++version), 0, now);
             case "loaded" -> cluster.onMachineLoaded(w[1], w[1] + ":1", types.get(0).name(), with.getOrDefault("zone", zones.get(0)),
-                    with.containsKey("spot"), true, now);
+                    with.containsKey("spot"), tasks(with.get("tasks")), now);
+            case "all-loaded" -> cluster.onLoaded();
             case "progress" -> {
                 BitSet done = new BitSet();
                 for (int i = 2; i < w.length; i++) {
@@ -98,6 +101,17 @@
         rentals.clear();
     }
 
+    private static List<TaskRef> tasks(String names) {
+        List<TaskRef> tasks = new ArrayList<>();
+        if (names != null) {
+            for (String name : names.split(",")) {
+                int slash = name.indexOf('/');
+                tasks.add(new TaskRef(name.substring(0, slash), Integer.parseInt(name.substring(slash + 1))));
+            }
+        }
+        return tasks;
+    }
+
     private static Map<String, String> options(String[] words) {
         Map<String, String> with = new HashMap<>();
         for (String word : words) {
@@ -263,8 +277,9 @@
     }
 
     @Override
-    public void storeMachine(Machine machine) {
-        recorded.add(machine.name);
+    public void storeMachine(Machine machine, List<TaskRef> tasks) {
+        recorded.removeIf(r -> r.startsWith(machine.name + ":"));
+        recorded.add(machine.name + ":" + tasks.stream().map(t -> t.job() + "/" + t.task()).collect(Collectors.joining(",")));
         if (machineStoreWorks) {
             cluster.onMachineStored(machine.name, true);
         }
@@ -273,7 +288,7 @@
     @Override
     public void dropMachine(String machine) {
         dropped.add(machine);
-        recorded.remove(machine);
+        recorded.removeIf(r -> r.startsWith(machine + ":"));
     }
 
     @Override
