--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -10,7 +10,7 @@
 /** The operators' own settings: protobuf text format, all optional. */
 public record OperatorSettings(int leaderLeaseMs, int grantMs, double offerS, double localityWaitS, double machineHoldS,
                                double gangHoldS, double headroom, double idleS) {
-    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 2500, 5, 3, 20, 15, 0.10, 40);
+    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 2000, 5, 3, 20, 15, 0.10, 40);
 
     /** Unknown fields are ignored; wrong ones are named. */
     public static OperatorSettings read(Path file) throws Settings.Invalid {
--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -5,49 +5,65 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Locale;
-import java.util.concurrent.Callable;
 import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.IVersionProvider;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
+import picocli.CommandLine.ParseResult;
 
-/** The command line. */
-@Command(name = "kelphoist", mixinStandardHelpOptions = true, versionProvider = Main.Version.class, sortOptions = false,
-        description = "A controller of the kelphoist cluster scheduler.",
-        footer = {"", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error"})
-public final class Main implements Callable<Integer> {
-    @Option(names = "--config", paramLabel = "FILE", description = "The platform's settings file (JSON).")
-    private Path config;
+/**
+ * The command line. Its options are described by calls and not by annotations: reading those would take a quarter of
+ * the time to start, and start-up is part of fail-over.
+ */
+public final class Main {
+    private static final double STARTED_AT = System.nanoTime() * 1e-9;
+    /** The program goes on after the command line was carried out. */
+    private static final int GOES_ON = -1;
 
-    @Option(names = "--operator", paramLabel = "FILE", description = "The operators' own settings (protobuf text format).")
-    private Path operator;
-
-    @Option(names = "--check", description = "Check the settings and exit.")
-    private boolean check;
-
-    @Option(names = "--warm-up", hidden = true, description = "Touch what a start needs, for the class archive, and exit.")
-    private boolean warmUp;
-
-    private final double startedAt = System.nanoTime() * 1e-9;
-
-    /** The version, from the jar. */
-    static final class Version implements IVersionProvider {
-        @Override
-        public String[] getVersion() {
-            String v = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"kelphoist " + (v == null ? "(development)" : v)};
-        }
-    }
+    private Main() { }
 
     public static void main(String[] args) {
+        quicken();
         logging();
-        CommandLine line = new CommandLine(new Main());
+        CommandLine line = new CommandLine(spec());
+        line.setExecutionStrategy(Main::carryOut);
         int code = line.execute(args);
-        if (code >= 0) {
+        if (code != GOES_ON) {
             System.exit(code);
         }
     }
 
+    private static CommandSpec spec() {
+        CommandSpec spec = CommandSpec.create().name("kelphoist");
+        spec.usageMessage().description("A controller of the kelphoist cluster scheduler.")
+                .footer("", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error")
+                .sortOptions(false);
+        String version = Main.class.getPackage().getImplementationVersion();
+        spec.version("kelphoist " + (version == null ? "(development)" : version));
+        spec.addOption(file("--config", "The platform's settings file (JSON)."));
+        spec.addOption(file("--operator", "The operators' own settings (protobuf text format)."));
+        spec.addOption(flag("--check", "Check the settings and exit.").build());
+        spec.addOption(flag("--warm-up", "Touch what a start needs, for the class archive, and exit.").hidden(true).build());
+        spec.addOption(OptionSpec.builder("-h", "--help").usageHelp(true).description("Show this help and exit.").build());
+        spec.addOption(OptionSpec.builder("-V", "--version").versionHelp(true).description("Print the version and exit.").build());
+        return spec;
+    }
+
+    private static OptionSpec file(String name, String what) {
+        return OptionSpec.builder(name).paramLabel("FILE").type(Path.class).description(what).build();
+    }
+
+    private static OptionSpec.Builder flag(String name, String what) {
+        return OptionSpec.builder(name).type(boolean.class).description(what);
+    }
+
+    /**
+     * XNIO registers beans for management, and the first of them makes the JDK set up all of its own, a quarter of the
+     * time to start. Nothing here is managed that way, so that there is no server for them; XNIO copes.
+     */
+    private static void quicken() {
+        System.setProperty("javax.management.builder.initial", "io.kelphoist.none");
+    }
+
     private static void logging() {
         String level = System.getenv("LOG_LEVEL");
         level = level == null ? "info" : level.toLowerCase(Locale.ROOT);
@@ -68,13 +84,25 @@
         System.setProperty("org.jboss.logging.provider", "slf4j");
     }
 
-    /** Below zero: goes on until something ends the process. */
-    @Override
-    public Integer call() throws IOException {
-        if (warmUp) {
-            WarmUp.run();
-            return 0;
+    private static int carryOut(ParseResult parsed) {
+        Integer help = CommandLine.executeHelpRequest(parsed);
+        if (help != null) {
+            return help;
         }
+        try {
+            if (parsed.hasMatchedOption("--warm-up")) {
+                WarmUp.run();
+                return 0;
+            }
+            return run(parsed.matchedOptionValue("--config", null), parsed.matchedOptionValue("--operator", null),
+                    parsed.hasMatchedOption("--check"));
+        } catch (IOException | RuntimeException e) {
+            System.err.println("kelphoist: can't start: " + e);
+            return 1;
+        }
+    }
+
+    private static int run(Path config, Path operator, boolean check) throws IOException {
         if (config == null) {
             System.err.println("kelphoist: --config FILE is missing, see --help");
             return 2;
@@ -93,7 +121,7 @@
                     + settings.teams().size() + " teams");
             return 0;
         }
-        Daemon.start(settings, own, startedAt);
-        return -1;
+        Daemon.start(settings, own, STARTED_AT);
+        return GOES_ON;
     }
 }
