--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -10,6 +10,9 @@
 /** The operators' own settings: protobuf text format, all optional. */
 public record OperatorSettings(int leaderLeaseMs, int grantMs, double offerS, double localityWaitS, double machineHoldS,
                                double gangHoldS, double headroom, double idleS) {
+    /** Of a machine's record, besides its tasks, and for each of these: one value at the state service holds it. */
+    private static final int RECORD_BYTES = 1536;
+    private static final int TASK_BYTES = 40;
     public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 2000, 5, 3, 20, 15, 0.10, 40);
 
     /** Unknown fields are ignored; wrong ones are named. */
@@ -40,6 +43,7 @@
 
     public Policy policy(Settings s) {
         return new Policy(s.zones(), s.teams(), s.workers().reportS(), s.workers().leaseS(), s.workers().gangWaitS(),
-                s.workers().gangPeerS(), s.workers().cancelS(), offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS);
+                s.workers().gangPeerS(), s.workers().cancelS(), offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
+                (int) Math.max(1, (s.stateLimits().valueKb() * 1024 - RECORD_BYTES) / TASK_BYTES));
     }
 }
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -101,6 +101,14 @@
         return imageGb.getDouble(image);
     }
 
+    private int image(String name, double gb) {
+        int image = images.of(name);
+        if (image == imageGb.size()) {
+            imageGb.add(gb);
+        }
+        return image;
+    }
+
     // ---- jobs ----
 
     /** A job's record as read or changed at the state service. */
@@ -115,11 +123,7 @@
                 LOG.warn("job {}: its team {} is not in the settings any more", record.id(), record.spec().team());
                 return;
             }
-            int image = images.of(record.spec().image());
-            if (image == imageGb.size()) {
-                imageGb.add(record.spec().imageGb());
-            }
-            job = new Job(record.spec(), team, image, zones, now - ageS, record.version(), now);
+            job = new Job(record.spec(), team, image(record.spec().image(), record.spec().imageGb()), zones, now - ageS, record.version(), now);
             if (record.status() == JobStatus.CANCELLED) {
                 job.to(Job.State.CANCELLED);
             }
@@ -190,7 +194,7 @@
      * A machine as an earlier term recorded it, after the jobs. Until it reports, or its lease has surely ended, the
      * tasks on record are presumed to be there: nothing else can be, as no start is sent before it is on record.
      */
-    public void onMachineLoaded(String name, String address, String type, String zone, boolean spot, List<TaskRef> tasks, double now) {
+    public void onMachineLoaded(String name, String address, String type, String zone, boolean spot, MachineContents contents, double now) {
         MachineType t = types.get(type);
         if (t == null || machines.containsKey(name)) {
             return;
@@ -198,7 +202,10 @@
         Machine m = new Machine(name, address, t, zones.of(zone), spot, Machine.State.JOINING, now);
         m.hasRecord = true;
         machines.put(name, m);
-        for (TaskRef task : tasks) {
+        for (MachineContents.Image i : contents.images()) {
+            m.usedImage(image(i.name(), i.gb()), i.gb(), this::gbOf);
+        }
+        for (TaskRef task : contents.tasks()) {
             Job job = jobs.get(task.job());
             if (job != null && task.task() < job.spec.tasks() && !job.done.get(task.task())) {
                 Placement p = new Placement(job, task.task(), Placement.PRESUMED, m, 0, now);
@@ -303,7 +310,8 @@
         if (news) {
             m.recording = all;
             m.hasRecord = true;
-            effects.storeMachine(m, all.stream().map(p -> new TaskRef(p.job.spec.id(), p.task)).toList());
+            effects.storeMachine(m, new MachineContents(all.stream().map(p -> new TaskRef(p.job.spec.id(), p.task)).toList(),
+                    m.images().intStream().mapToObj(i -> new MachineContents.Image(images.name(i), gbOf(i))).toList()));
         }
     }
 
@@ -461,6 +469,10 @@
         return null;
     }
 
+    private static double round(double seconds) {
+        return Math.round(seconds * 10) / 10.0;
+    }
+
     private void vanish(Placement p, double now) {
         if (p.state() == Placement.State.GONE) {
             return;
@@ -491,6 +503,8 @@
         if (!ran && !Double.isNaN(p.runningSince)) {
             p.job.running++;
             p.job.gangRan = true;
+            LOG.debug("{} {} task {}/{} runs on {} {} s after it was accepted, {} s after its start", p.job.spec.jobClass(), p.job.spec.kind(),
+                    p.job.spec.id(), p.task, p.machine.name, round(now - p.job.acceptedAt), round(now - p.sentAt));
         }
         if (next == Placement.State.EXITED) {
             exited(p, t, now);
@@ -613,7 +627,8 @@
         Placement p = new Placement(job, task, attempt, m, m.session, now);
         m.placements.add(p);
         count(p);
-        LOG.debug("start {}/{} attempt {} on {}", job.spec.id(), task, attempt, m.name);
+        LOG.debug("start {}/{} attempt {} on {}, waited {} s, fetch {} s, used {}", job.spec.id(), task, attempt, m.name,
+                round(now - job.waitingSince), round(Placing.fetchSeconds(job, m)), m.used);
     }
 
     /** Attempts hold the term, so that no two of them are ever the same. */
@@ -774,7 +789,7 @@
             return false;
         }
         LOG.info("term {}: take-over complete after {} s, {} machines ({} silent), {} jobs", term,
-                Math.round((now - startedAt) * 10) / 10.0, machines.size(), silent, jobs.size());
+                round(now - startedAt), machines.size(), silent, jobs.size());
         return true;
     }
 
@@ -803,7 +818,6 @@
                 m.hasRecord = false;
             }
             m.recording = List.of();
-            m.forgetImages();
         }
     }
 
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -14,8 +14,8 @@
     /** Stores that a job is done; outcome: {@link Cluster#onJob}. */
     void storeDone(String job, long version, int tasks);
 
-    /** Stores which tasks may be on a machine; outcome: {@link Cluster#onMachineStored}. */
-    void storeMachine(Machine machine, List<TaskRef> tasks);
+    /** Stores what may be on a machine; outcome: {@link Cluster#onMachineStored}. */
+    void storeMachine(Machine machine, MachineContents contents);
 
     void dropMachine(String machine);
 
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -134,9 +134,8 @@
         }
     }
 
-    void forgetImages() {
-        images.clear();
-        imagesGb = 0;
+    IntArrayList images() {
+        return images;
     }
 
     /** Sizes of images by index. */
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -11,10 +11,10 @@
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Job;
 import io.kelphoist.core.Machine;
+import io.kelphoist.core.MachineContents;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
 import io.kelphoist.core.Rental;
-import io.kelphoist.core.TaskRef;
 import io.kelphoist.peer.PeerCalls;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
@@ -501,9 +501,9 @@
     }
 
     @Override
-    public void storeMachine(Machine machine, List<TaskRef> tasks) {
+    public void storeMachine(Machine machine, MachineContents contents) {
         String zone = cluster.zoneName(machine.zone);
-        ifStored(s -> s.machine(machine, zone, tasks));
+        ifStored(s -> s.machine(machine, zone, contents));
     }
 
     @Override
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -7,6 +7,7 @@
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
+import io.kelphoist.core.MachineContents;
 import io.kelphoist.core.MachineType;
 import io.kelphoist.core.TaskRef;
 import io.kelphoist.state.Committer;
@@ -31,6 +32,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Store.class);
     private static final double PATIENCE_S = 20;
     private static final int HOLD_MS = 8000;
+    /** Images on a machine's record: a hint, so the latest are enough. */
+    private static final int MOST_IMAGES = 20;
 
     private final StateClient state;
     private final Committer committer;
@@ -91,9 +94,11 @@
                 LOG.error("record {}: {} is not a task", key, name);
             }
         }
+        List<MachineContents.Image> images = new ArrayList<>();
+        v.path("images").fields().forEachRemaining(e -> images.add(new MachineContents.Image(e.getKey(), e.getValue().asDouble())));
         versions.put(key, item.path("entry").asLong());
         cluster.onMachineLoaded(key.substring(Keys.MACHINES.length()), v.path("address").asText(), v.path("type").asText(),
-                v.path("zone").asText(), v.path("spot").asBoolean(), tasks, loop.now());
+                v.path("zone").asText(), v.path("spot").asBoolean(), new MachineContents(tasks, images), loop.now());
     }
 
     private void range(String prefix, Consumer<StateClient.Range> then) {
@@ -271,11 +276,13 @@
         }
     }
 
-    void machine(Machine m, String zone, List<TaskRef> tasks) {
+    void machine(Machine m, String zone, MachineContents contents) {
         ObjectNode value = Cbor.map().put("address", m.address()).put("type", m.type.name()).put("zone", zone).put("spot", m.spot);
         ArrayNode names = value.putArray("tasks");
-        tasks.forEach(t -> names.add(t.job() + "/" + t.task()));
-        own(Keys.machine(m.name), value, 250 + 30 * tasks.size(), ok -> cluster.onMachineStored(m.name, ok));
+        contents.tasks().forEach(t -> names.add(t.job() + "/" + t.task()));
+        ObjectNode images = value.putObject("images");
+        contents.images().stream().skip(Math.max(0, contents.images().size() - MOST_IMAGES)).forEach(i -> images.put(i.name(), i.gb()));
+        own(Keys.machine(m.name), value, 250 + 30 * (contents.tasks().size() + contents.images().size()), ok -> cluster.onMachineStored(m.name, ok));
     }
 
     void dropMachine(String name) {
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -8,12 +8,12 @@
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
+import io.kelphoist.core.MachineContents;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.Resources;
 import io.kelphoist.core.TaskPhase;
-import io.kelphoist.core.TaskRef;
 import io.kelphoist.core.TaskReport;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
@@ -119,7 +119,7 @@
         public void storeDone(String job, long version, int tasks) { }
 
         @Override
-        public void storeMachine(Machine machine, List<TaskRef> tasks) { }
+        public void storeMachine(Machine machine, MachineContents contents) { }
 
         @Override
         public void dropMachine(String machine) { }
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -60,7 +60,7 @@
             case "cancel" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.CANCELLED, 0, ++version), 0, now);
             case "cancelled-job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.CANCELLED, 0, ++version), 0, now);
             case "loaded" -> cluster.onMachineLoaded(w[1], w[1] + ":1", types.get(0).name(), with.getOrDefault("zone", zones.get(0)),
-                    with.containsKey("spot"), tasks(with.get("tasks")), now);
+                    with.containsKey("spot"), new MachineContents(tasks(with.get("tasks")), List.of()), now);
             case "all-loaded" -> cluster.onLoaded();
             case "progress" -> {
                 BitSet done = new BitSet();
@@ -94,7 +94,7 @@
     // ---- the cluster's side ----
 
     private void term(long term) {
-        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 30, 8, 30, 5, 3, 20, 15, 0, 40);
+        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 30, 8, 30, 5, 3, 20, 15, 0, 40, 100);
         cluster = new Cluster(policy, this, term, types, now);
         orders.clear();
         stored.clear();
@@ -277,9 +277,9 @@
     }
 
     @Override
-    public void storeMachine(Machine machine, List<TaskRef> tasks) {
+    public void storeMachine(Machine machine, MachineContents contents) {
         recorded.removeIf(r -> r.startsWith(machine.name + ":"));
-        recorded.add(machine.name + ":" + tasks.stream().map(t -> t.job() + "/" + t.task()).collect(Collectors.joining(",")));
+        recorded.add(machine.name + ":" + contents.tasks().stream().map(t -> t.job() + "/" + t.task()).collect(Collectors.joining(",")));
         if (machineStoreWorks) {
             cluster.onMachineStored(machine.name, true);
         }
