--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -30,11 +30,11 @@
 
     Allocator(Cluster cluster) {
         this.cluster = cluster;
-        gangs = new GangScheduler(cluster);
+        preemption = new Preemption(cluster);
+        gangs = new GangScheduler(cluster, preemption);
         schedulers.put(JobKind.ARRAY, new ArrayScheduler(cluster));
         schedulers.put(JobKind.GANG, gangs);
-        schedulers.put(JobKind.SERVICE, new ServiceScheduler(cluster));
-        preemption = new Preemption(cluster);
+        schedulers.put(JobKind.SERVICE, new ServiceScheduler(cluster, preemption));
     }
 
     /** Jobs with work that found no room in the last run, in the order in which they should get some. */
@@ -102,6 +102,11 @@
             }
             i.remove();
             left.add(job);
+            if (job.spec.kind() != JobKind.ARRAY && !job.team.withinLimit(job.spec.perTask())) {
+                // What comes free under the limit is for this job, not for the team's work of lower priority.
+                jobs.removeIf(j -> j.spec.priority().compareTo(job.spec.priority()) < 0 && left.add(j));
+                return accept(offer, jobs, left);
+            }
         }
         return false;
     }
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -11,10 +11,12 @@
     private record Piece(Job job, Machine machine) { }
 
     private final Cluster cluster;
+    private final Preemption preemption;
     private final List<Piece> pieces = new ArrayList<>();
 
-    GangScheduler(Cluster cluster) {
+    GangScheduler(Cluster cluster, Preemption preemption) {
         this.cluster = cluster;
+        this.preemption = preemption;
     }
 
     @Override
@@ -28,6 +30,10 @@
             return false;
         }
         List<Machine> places = placeAll(offer, job);
+        if (job.spec.tasks() == 1 && !places.isEmpty() && places.get(0).heldFor != job
+                && preemption.beats(Placing.fetchSeconds(job, places.get(0)), job, now)) {
+            return false;
+        }
         if (places.size() == job.spec.tasks()) {
             job.holdUntil = 0;
             job.gangAttempt = cluster.nextAttempt();
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Makes room for work that found none: holds the machine nearest to fitting it, and stops what the protocol allows
@@ -13,6 +15,12 @@
     /** Room often comes free by itself within this time. */
     private static final double PATIENCE_S = 0.3;
     private static final int MOST_PER_RUN = 4;
+    /** What stopping a task costs besides its work, and what a second of lost work counts against a second of waiting. */
+    private static final double STOP_S = 0.2;
+    private static final double LOST_WORK = 0.05;
+    /** Nothing is stopped to save a fetch that is shorter than this. */
+    private static final double WORTH_STOPPING_S = 1.0;
+    private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
     private final Cluster cluster;
 
     Preemption(Cluster cluster) {
@@ -26,14 +34,19 @@
                 return;
             }
             boolean guaranteed = job.team.withinGuarantee(job.spec.perTask());
-            if (job.spec.kind() == JobKind.ARRAY && !guaranteed || now - job.waitingSince < PATIENCE_S
-                    || now < job.machineFilterUntil || !job.team.withinLimit(job.spec.perTask()) || job.gangRan) {
+            double patience = job.spec.priority().compareTo(Priority.HIGH) >= 0 ? 0 : PATIENCE_S;
+            if (job.spec.kind() == JobKind.ARRAY && !guaranteed || now - job.waitingSince < patience
+                    || now < job.machineFilterUntil || job.gangRan) {
+                continue;
+            }
+            if (!job.team.withinLimit(job.spec.perTask())) {
+                makeRoomInTeam(job, now);
                 continue;
             }
             if (alreadyHolds(job, now)) {
                 continue;
             }
-            if (holdOne(job, guaranteed, now)) {
+            if (holdOne(job, now)) {
                 held++;
             }
         }
@@ -54,34 +67,46 @@
         return holds;
     }
 
-    private boolean holdOne(Job job, boolean guaranteed, double now) {
-        Machine best = null;
-        List<Placement> bestVictims = List.of();
-        double bestCost = Double.POSITIVE_INFINITY;
+    /** Where the team's limit is in the way, its own work of lower priority gives way. */
+    private void makeRoomInTeam(Job job, double now) {
+        Resources need = job.spec.perTask();
+        List<Placement> possible = new ArrayList<>();
+        Resources freed = Resources.NONE;
         for (Machine m : cluster.machines.values()) {
-            if (!m.takesWork(now) || m.heldFor != null && m.heldFor.active() && now < m.heldUntil || !Placing.allowed(job, m)) {
-                continue;
-            }
-            List<Placement> victims = victims(job, m, guaranteed, now);
-            if (victims == null) {
-                continue;
-            }
-            double cost = Placing.fetchSeconds(job, m);
-            for (Placement v : victims) {
-                cost += 1 + v.workAtRisk(now) * v.job.spec.perTask().dominantShare(m.type.capacity());
+            for (Placement p : m.placements) {
+                if (!p.state().occupies() || p.job.team != job.team) {
+                    continue;
+                }
+                if (p.stopping()) {
+                    freed = freed.plus(p.job.spec.perTask());
+                } else if (p.job.spec.kind() == JobKind.ARRAY && p.job.spec.priority().compareTo(job.spec.priority()) < 0) {
+                    possible.add(p);
+                }
             }
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = m;
-                bestVictims = victims;
+        }
+        possible.sort(Comparator.comparingDouble(p -> p.workAtRisk(now)));
+        List<Placement> victims = new ArrayList<>();
+        for (Placement p : possible) {
+            if (job.team.withinLimit(need.minus(freed))) {
+                break;
             }
+            victims.add(p);
+            freed = freed.plus(p.job.spec.perTask());
         }
-        if (best == null) {
+        if (job.team.withinLimit(need.minus(freed))) {
+            victims.forEach(v -> cluster.stop(v, v.job.spec.checkpoints() ? v.job.spec.saveS() : 0, now));
+        }
+    }
+
+    private boolean holdOne(Job job, double now) {
+        Plan plan = plan(job, now);
+        if (plan == null) {
             return false;
         }
-        best.heldFor = job;
-        best.heldUntil = now + cluster.policy.machineHoldS();
-        for (Placement v : bestVictims) {
+        plan.machine.heldFor = job;
+        plan.machine.heldUntil = now + cluster.policy.machineHoldS();
+        LOG.debug("machine {} is held for {}, {} tasks stop", plan.machine.name, job.spec.id(), plan.victims.size());
+        for (Placement v : plan.victims) {
             double grace = v.job.spec.checkpoints() ? v.job.spec.saveS() : 0;
             if (v.job.spec.kind() == JobKind.GANG) {
                 cluster.stopGang(v.job, grace, now);
@@ -92,6 +117,43 @@
         return true;
     }
 
+    /** Whether a start after stopping something comes sooner than one that has to fetch its image for so long. */
+    boolean beats(double fetchS, Job job, double now) {
+        if (fetchS < WORTH_STOPPING_S || alreadyHolds(job, now)) {
+            return fetchS >= WORTH_STOPPING_S;
+        }
+        Plan plan = plan(job, now);
+        return plan != null && !plan.victims.isEmpty() && plan.cost < fetchS;
+    }
+
+    /** Where one task of the job would start soonest, what has to stop for it, and what that costs in seconds. */
+    private record Plan(Machine machine, List<Placement> victims, double cost) { }
+
+    private Plan plan(Job job, double now) {
+        boolean guaranteed = job.team.withinGuarantee(job.spec.perTask());
+        Plan best = null;
+        for (Machine m : cluster.machines.values()) {
+            if (!m.takesWork(now) || m.heldForOther(job, now) || !Placing.allowed(job, m)) {
+                continue;
+            }
+            List<Placement> victims = victims(job, m, guaranteed, now);
+            if (victims == null) {
+                continue;
+            }
+            double cost = Placing.fetchSeconds(job, m);
+            double grace = 0;
+            for (Placement v : victims) {
+                grace = Math.max(grace, v.job.spec.checkpoints() ? v.job.spec.saveS() : 0);
+                cost += STOP_S + LOST_WORK * v.workAtRisk(now);
+            }
+            cost += grace;
+            if (best == null || cost < best.cost) {
+                best = new Plan(m, victims, cost);
+            }
+        }
+        return best;
+    }
+
     /** The cheapest tasks whose end makes the job fit here; null: not possible. */
     private List<Placement> victims(Job job, Machine m, boolean guaranteed, double now) {
         Resources room = m.free();
--- a/src/main/java/io/kelphoist/core/ServiceScheduler.java
+++ b/src/main/java/io/kelphoist/core/ServiceScheduler.java
@@ -1,11 +1,13 @@
 package io.kelphoist.core;
 
-/** Replicas, each as soon as it can be placed. */
+/** Replicas, each as soon as it can be placed; not where a fetch takes longer than making room elsewhere. */
 final class ServiceScheduler implements KindScheduler {
     private final Cluster cluster;
+    private final Preemption preemption;
 
-    ServiceScheduler(Cluster cluster) {
+    ServiceScheduler(Cluster cluster, Preemption preemption) {
         this.cluster = cluster;
+        this.preemption = preemption;
     }
 
     @Override
@@ -15,7 +17,7 @@
             return false;
         }
         Machine m = Placing.best(offer, job);
-        if (m == null) {
+        if (m == null || preemption.beats(Placing.fetchSeconds(job, m), job, offer.now()) && m.heldFor != job) {
             return false;
         }
         cluster.start(job, task, m, cluster.nextAttempt(), offer.now());
