--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -42,6 +42,7 @@
     }
 
     private final Cluster cluster;
+    private final Consolidation consolidation;
     private final Map<Kind, Double> refusedUntil = new HashMap<>();
     /** Requests without a final answer, and when to ask again. */
     private final Map<Rental, Double> open = new LinkedHashMap<>();
@@ -52,6 +53,7 @@
 
     Fleet(Cluster cluster) {
         this.cluster = cluster;
+        this.consolidation = new Consolidation(cluster);
     }
 
     void run(List<Job> unplaced, double now) {
@@ -65,7 +67,9 @@
         for (Job job : unplaced) {
             demand(job, rooms, wanted, now);
         }
-        int spare = spare(rooms, wanted, now);
+        int headroom = headroom(rooms);
+        consolidation.run(!unplaced.isEmpty(), headroom, now);
+        int spare = spare(rooms, headroom, wanted, now);
         wanted.forEach((kind, count) -> {
             for (int left = count; left > 0; left -= MOST_PER_REQUEST) {
                 ask(kind, Math.min(left, MOST_PER_REQUEST), now);
@@ -175,18 +179,23 @@
         return count;
     }
 
+    /** How many whole machines should be ready. */
+    private int headroom(List<Room> rooms) {
+        if (cluster.jobs.isEmpty() || cluster.policy.headroom() == 0) {
+            return 0;
+        }
+        long busy = rooms.stream().filter(r -> !r.untouched).count();
+        return Math.max(1, (int) Math.ceil(cluster.policy.headroom() * busy));
+    }
+
     /** Keeps some whole machines ready; returns how many there are beyond that. */
-    private int spare(List<Room> rooms, Map<Kind, Integer> wanted, double now) {
-        int busy = 0;
+    private int spare(List<Room> rooms, int headroom, Map<Kind, Integer> wanted, double now) {
         int ready = 0;
         for (Room r : rooms) {
             if (r.untouched && !r.spot) {
                 ready++;
-            } else if (!r.untouched) {
-                busy++;
             }
         }
-        int headroom = cluster.jobs.isEmpty() || cluster.policy.headroom() == 0 ? 0 : Math.max(1, (int) Math.ceil(cluster.policy.headroom() * busy));
         for (int i = ready; i < headroom; i++) {
             Kind best = null;
             for (MachineType type : cluster.types.values()) {
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -49,6 +49,8 @@
     double idleSince;
     double takenAt = Double.POSITIVE_INFINITY;
     boolean ordersInFlight;
+    /** Gets no new work so that it can go back; takes work again when some waits. */
+    boolean emptying;
     double ordersRetryAt;
     boolean listed;
     Resources used = Resources.NONE;
