--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -47,9 +47,11 @@
     private static final double SOON_S = 0.015;
     private static final double TYPES_EVERY_S = 45;
     private static final double NEWS_EVERY_S = 1.0;
-    private static final int RELAY_TIMEOUT_MS = 3000;
-    private static final double RELAY_FOR_S = 30;
-    private static final double CAME_BACK_S = 10;
+    private static final int RELAY_TIMEOUT_MS = 2000;
+    /** How long a report may wait for an election that is under way here, and how often that is looked at. */
+    private static final double PARK_S = 0.8;
+    private static final double PARK_STEP_S = 0.05;
+    private static final int MOST_PARKED = 200;
     private static final int STATE_CONNECTIONS = 6;
 
     /** Counts for the metrics, by what happened. */
@@ -80,8 +82,8 @@
     private double newsAt;
     private double ledSince;
     private Map<String, UserApi.Counts> counts = new HashMap<>();
-    private final Map<String, Double> redirectedAt = new HashMap<>();
-    private final Map<String, Double> relayUntil = new HashMap<>();
+    private final Routes routes;
+    private int parked;
 
     public Controller(Settings settings, OperatorSettings operator, XnioIoThread thread, ByteBufferPool buffers, double startedAt) {
         this.settings = settings;
@@ -113,6 +115,7 @@
         peers = new PeerCalls(callers);
         leadership = new Leadership(settings.node(), settings.peers().stream().map(Settings.Peer::node).toList(), state, peers, loop,
                 operator.leaderLeaseMs(), operator.grantMs(), startedAt, this);
+        routes = new Routes(settings.peers().stream().map(Settings.Peer::node).toList(), settings.workers().leaseS());
         api = new UserApi(state, committer, loop, System::currentTimeMillis, new UserApi.Knowledge() {
             @Override
             public Collection<MachineType> types() {
@@ -348,9 +351,14 @@
             return;
         }
         counters.reports++;
+        handle(exchange, message, report, loop.now() + PARK_S);
+    }
+
+    private void handle(HttpServerExchange exchange, ObjectNode message, MachineReport report, double parkUntil) {
+        double now = loop.now();
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER) {
-            counters.directReportAt = loop.now();
+            counters.directReportAt = now;
             ObjectNode answer = lead(report);
             if (answer == null) {
                 HttpServing.status(exchange, 503);
@@ -359,31 +367,37 @@
             }
             return;
         }
-        String leader = election.leader();
-        if (leader == null || !peers.knows(leader)) {
-            HttpServing.cbor(exchange, 421, Codec.redirect(null));
-            return;
-        }
-        double now = loop.now();
-        boolean cameBack = now - redirectedAt.getOrDefault(report.machine(), Double.NEGATIVE_INFINITY) < CAME_BACK_S;
-        if (cameBack) {
-            relayUntil.put(report.machine(), now + RELAY_FOR_S);
-        }
-        if (now < relayUntil.getOrDefault(report.machine(), 0.0)) {
-            redirectedAt.remove(report.machine());
-            counters.relayed++;
-            peers.call(leader, "/peer/report", message, RELAY_TIMEOUT_MS, answer -> {
-                if (answer != null && answer.status() == 200) {
-                    HttpServing.cbor(exchange, 200, answer.body());
-                } else {
-                    relayUntil.remove(report.machine());
-                    HttpServing.status(exchange, 503);
-                }
+        if (election.state() != Election.State.FOLLOWER && now < parkUntil && parked < MOST_PARKED) {
+            // The election is about to end here, and may end with this controller leading.
+            parked++;
+            loop.after(PARK_STEP_S, () -> {
+                parked--;
+                handle(exchange, message, report, parkUntil);
             });
             return;
         }
-        redirectedAt.put(report.machine(), now);
-        HttpServing.cbor(exchange, 421, Codec.redirect(leader));
+        String leader = election.leader();
+        boolean reachesUs = leadership.heardFromLeader(now);
+        Routes.Route route = routes.route(report.machine(), leader != null && peers.knows(leader) ? leader : null, reachesUs, now);
+        if (route.relay()) {
+            relay(exchange, message, report.machine(), route.node());
+        } else {
+            HttpServing.cbor(exchange, 421, Codec.redirect(route.node()));
+        }
+    }
+
+    /** Passes a report on to the leader, for a worker that can't reach it or may soon lose its lease on the way. */
+    private void relay(HttpServerExchange exchange, ObjectNode message, String machine, String leader) {
+        counters.relayed++;
+        peers.call(leader, "/peer/report", message, RELAY_TIMEOUT_MS, answer -> {
+            boolean ok = answer != null && answer.status() == 200;
+            routes.relayed(machine, ok, loop.now());
+            if (ok) {
+                HttpServing.cbor(exchange, 200, answer.body());
+            } else {
+                HttpServing.status(exchange, 503);
+            }
+        });
     }
 
     /** The answer to a report, if this controller may give one. */
@@ -414,6 +428,7 @@
             return;
         }
         leadership.heard(m);
+        leadership.heardLeader(m.path("from").asText());
         boolean granted = m.path("term").isIntegralNumber() && leadership.election().grant(m.path("term").asLong(), loop.now());
         if (m.has("jobs") && cluster == null) {
             Map<String, UserApi.Counts> news = new HashMap<>();
--- a/src/main/java/io/kelphoist/daemon/Leadership.java
+++ b/src/main/java/io/kelphoist/daemon/Leadership.java
@@ -10,11 +10,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /** Brings the election to the state service and to the other controllers. */
 final class Leadership implements Election.Actions {
     private static final int HOLD_MS = 8000;
     private static final int PEER_TIMEOUT_MS = 800;
+    /** Several times as long as between two requests for a grant. */
+    private static final double LEADER_QUIET_S = 2.0;
 
     /** Told of terms that begin and end here. */
     interface Listener {
@@ -38,6 +41,10 @@
     private long watched = -1;
     private boolean reading;
     private long newest = -1;
+    private String leaderHeardFrom;
+    private double leaderHeardAt = Double.NEGATIVE_INFINITY;
+    private String lastLeader;
+    private double leaderChangedAt = Double.NEGATIVE_INFINITY;
     private double peerStateOk = Double.NEGATIVE_INFINITY;
 
     Leadership(String self, List<String> peerNames, StateClient state, PeerCalls peers, StateClient.Loop loop, long leaseMs, long grantMs,
@@ -57,6 +64,10 @@
     }
 
     void tick() {
+        if (!Objects.equals(lastLeader, election.leader())) {
+            lastLeader = election.leader();
+            leaderChangedAt = loop.now();
+        }
         election.tick(loop.now());
     }
 
@@ -234,6 +245,17 @@
         }
     }
 
+    void heardLeader(String node) {
+        leaderHeardFrom = node;
+        leaderHeardAt = loop.now();
+    }
+
+    /** Whether the leader asked for a grant lately: if not, the two can't reach each other, or it is gone. */
+    boolean heardFromLeader(double now) {
+        return leaderHeardFrom != null && leaderHeardFrom.equals(election.leader()) && now - leaderHeardAt < LEADER_QUIET_S
+                || now - leaderChangedAt < LEADER_QUIET_S;
+    }
+
     /** True if this controller alone seems to have lost the state service. */
     boolean aloneWithoutState() {
         return state.failingFor() > 2 && loop.now() - peerStateOk < 2.5;
