--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -13,7 +13,7 @@
     /** Of a machine's record, besides its tasks, and for each of these: one value at the state service holds it. */
     private static final int RECORD_BYTES = 1536;
     private static final int TASK_BYTES = 40;
-    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.10, 40);
+    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40);
 
     /** Unknown fields are ignored; wrong ones are named. */
     public static OperatorSettings read(Path file) throws Settings.Invalid {
--- a/src/main/java/io/kelphoist/core/Consolidation.java
+++ b/src/main/java/io/kelphoist/core/Consolidation.java
@@ -18,7 +18,7 @@
     private static final double PATIENCE_S = 15;
     private static final double BETWEEN_S = 3;
     /** Beyond the headroom, in machines, so that emptying one does not ask for another. */
-    private static final double MARGIN = 0.75;
+    private static final double MARGIN = 0.5;
     private final Cluster cluster;
     private double roomSince = Double.NaN;
     private double nextAt;
@@ -27,7 +27,7 @@
         this.cluster = cluster;
     }
 
-    void run(boolean workWaits, int headroom, double now) {
+    void run(boolean workWaits, double headroom, double now) {
         if (workWaits) {
             roomSince = Double.NaN;
             for (Machine m : cluster.machines.values()) {
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -67,9 +67,9 @@
         for (Job job : unplaced) {
             demand(job, rooms, wanted, now);
         }
-        int headroom = headroom(rooms);
+        double headroom = headroom(rooms);
         consolidation.run(!unplaced.isEmpty(), headroom, now);
-        int spare = spare(rooms, headroom, wanted, now);
+        double spare = spare(rooms, headroom, wanted, now);
         wanted.forEach((kind, count) -> {
             for (int left = count; left > 0; left -= MOST_PER_REQUEST) {
                 ask(kind, Math.min(left, MOST_PER_REQUEST), now);
@@ -179,24 +179,24 @@
         return count;
     }
 
-    /** How many whole machines should be ready. */
-    private int headroom(List<Room> rooms) {
+    /** How much room should be free, in machines. */
+    private double headroom(List<Room> rooms) {
         if (cluster.jobs.isEmpty() || cluster.policy.headroom() == 0) {
             return 0;
         }
         long busy = rooms.stream().filter(r -> !r.untouched).count();
-        return Math.max(1, (int) Math.ceil(cluster.policy.headroom() * busy));
+        return Math.max(1, cluster.policy.headroom() * busy);
     }
 
-    /** Keeps some whole machines ready; returns how many there are beyond that. */
-    private int spare(List<Room> rooms, int headroom, Map<Kind, Integer> wanted, double now) {
-        int ready = 0;
+    /** Keeps some room free on ordinary machines, whole or in pieces; returns how much there is beyond that. */
+    private double spare(List<Room> rooms, double headroom, Map<Kind, Integer> wanted, double now) {
+        double ready = 0;
         for (Room r : rooms) {
-            if (r.untouched && !r.spot) {
-                ready++;
+            if (!r.spot) {
+                ready += 1 - r.type.capacity().minus(r.free).dominantShare(r.type.capacity());
             }
         }
-        for (int i = ready; i < headroom; i++) {
+        for (double i = ready; i < headroom; i++) {
             Kind best = null;
             for (MachineType type : cluster.types.values()) {
                 for (String zone : type.zones()) {
@@ -280,8 +280,8 @@
         }
     }
 
-    private void giveBack(int spare, double now) {
-        int idle = spare;
+    private void giveBack(double spare, double now) {
+        double idle = spare;
         List<Machine> candidates = new ArrayList<>(cluster.machines.values());
         candidates.sort((a, b) -> Double.compare(a.idleSince, b.idleSince));
         for (Machine m : candidates) {
@@ -304,7 +304,7 @@
                 case UP -> {
                     boolean aged = m.idle() && m.held.equals(Resources.NONE) && m.heldFor == null
                             && now - m.idleSince > cluster.policy.idleS();
-                    if (aged && (m.spot || idle > 0)) {
+                    if (aged && (m.spot || idle >= 1)) {
                         idle -= m.spot ? 0 : 1;
                         leave(m, "idle", now);
                     }
