--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -31,8 +31,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
     /** Beyond the lease, for the steps in which timers fire. */
     private static final double TIMER_MARGIN_S = 0.25;
-    /** An attempt's number holds the term above so many bits. */
-    private static final int ATTEMPT_BITS = 24;
     /** Reports come every {@code reportS}, give or take a quarter. */
     private static final double REPORT_ROUND = 1.25;
 
@@ -49,7 +47,6 @@
     final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
     /** Machines that were confirmed gone. Names are never used twice, late messages of them mean nothing. */
     private final Object2ObjectOpenHashMap<String, Boolean> gone = new Object2ObjectOpenHashMap<>();
-    final Estimates estimates = new Estimates();
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
@@ -527,9 +524,6 @@
             job.pending.clear(p.task);
             job.progressDirty = true;
         }
-        if (t.exit() == ExitReason.DONE && !Double.isNaN(p.runningSince) && p.attempt >> ATTEMPT_BITS == term) {
-            estimates.ran(job.spec, now - p.runningSince);
-        }
         uncount(p, now);
         switch (t.exit()) {
             case ERROR -> failed(p, now);
@@ -639,7 +633,7 @@
 
     /** Attempts hold the term, so that no two of them are ever the same. */
     long nextAttempt() {
-        return (term << ATTEMPT_BITS) + ++attempts;
+        return (term << 24) + ++attempts;
     }
 
     void stop(Placement p, double grace, double now) {
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -30,8 +30,6 @@
         final int zone;
         final boolean spot;
         Resources free;
-        /** What probably comes free while a machine would boot; good enough for array work. */
-        Resources soon = Resources.NONE;
         boolean untouched;
 
         Room(MachineType type, int zone, boolean spot, Resources free, boolean untouched) {
@@ -87,13 +85,7 @@
             if (booting || m.state() == Machine.State.JOINING) {
                 rooms.add(new Room(m.type, m.zone, m.spot, m.type.capacity(), true));
             } else if (m.state() == Machine.State.UP && m.takenAt == Double.POSITIVE_INFINITY) {
-                Room room = new Room(m.type, m.zone, m.spot, m.heldFor != null ? Resources.NONE : m.free(), m.idle() && m.heldFor == null);
-                for (Placement p : m.placements) {
-                    if (p.state().occupies() && m.heldFor == null && cluster.estimates.remaining(p, now) < m.type.bootS()) {
-                        room.soon = room.soon.plus(p.job.spec.perTask());
-                    }
-                }
-                rooms.add(room);
+                rooms.add(new Room(m.type, m.zone, m.spot, m.heldFor != null ? Resources.NONE : m.free(), m.idle() && m.heldFor == null));
             }
         }
         for (Rental r : open.keySet()) {
@@ -120,8 +112,7 @@
         for (int i = 0; i < allowed; i++) {
             Room room = null;
             for (Room r : rooms) {
-                Resources free = job.spec.kind() == JobKind.ARRAY ? r.free.plus(r.soon) : r.free;
-                if (fits(job, r.type, r.zone, r.spot, inZone, common) && job.spec.perTask().fitsIn(free)) {
+                if (fits(job, r.type, r.zone, r.spot, inZone, common) && job.spec.perTask().fitsIn(r.free)) {
                     room = r;
                     break;
                 }
