--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -87,7 +87,10 @@
                 open.remove(team);
             }
         }
-        waiting.values().forEach(left::addAll);
+        waiting.forEach((team, jobs) -> {
+            left.addAll(jobs);
+            team.reserved = Resources.NONE;
+        });
     }
 
     /** Asks the team's schedulers, most urgent job first. Within a run room only shrinks, so a no stands. */
@@ -102,10 +105,9 @@
             }
             i.remove();
             left.add(job);
-            if (job.spec.kind() != JobKind.ARRAY && !job.team.withinLimit(job.spec.perTask())) {
-                // What comes free under the limit is for this job, not for the team's work of lower priority.
-                jobs.removeIf(j -> j.spec.priority().compareTo(job.spec.priority()) < 0 && left.add(j));
-                return accept(offer, jobs, left);
+            if (job.spec.kind() != JobKind.ARRAY && !job.gangRan) {
+                // What the limit leaves is for this job: work of lower priority would only be stopped for it again.
+                job.team.reserved = job.team.reserved.plus(job.spec.perTask().times(job.pending.cardinality()));
             }
         }
         return false;
--- a/src/main/java/io/kelphoist/core/TeamState.java
+++ b/src/main/java/io/kelphoist/core/TeamState.java
@@ -7,12 +7,15 @@
     /** Pieces held for gangs, counted to the team up to its guarantee. */
     Resources held = Resources.NONE;
 
+    /** Kept free under the limit, during one run of the allocator, for urgent work that found no room. */
+    Resources reserved = Resources.NONE;
+
     TeamState(Team team) {
         this.team = team;
     }
 
     boolean withinLimit(Resources more) {
-        return used.plus(held).plus(more).fitsIn(team.limit());
+        return used.plus(held).plus(reserved).plus(more).fitsIn(team.limit());
     }
 
     boolean withinGuarantee(Resources more) {
