--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -17,6 +17,10 @@
 final class Allocator {
     /** Starts per run; what is left over goes on in the next one, so that one run never takes long. */
     private static final int MOST_STARTS = 200;
+    static final Comparator<Job> TEAM_ORDER = Comparator
+            .comparing((Job j) -> j.spec.priority()).reversed()
+            .thenComparingDouble(Job::deadline)
+            .thenComparingDouble(j -> j.acceptedAt);
 
     private final Cluster cluster;
     private final GangScheduler gangs;
@@ -38,17 +42,7 @@
         return unplaced;
     }
 
-    /** Priority, then deadline; but what can't be in time any more does not make others late too. */
-    private static Comparator<Job> order(double now) {
-        return Comparator
-                .comparing((Job j) -> j.spec.priority()).reversed()
-                .thenComparing(j -> j.late(now))
-                .thenComparingDouble(Job::deadline)
-                .thenComparingDouble(j -> j.acceptedAt);
-    }
-
     void run(double now) {
-        Comparator<Job> order = order(now);
         gangs.releaseStale(now);
         Map<TeamState, List<Job>> waiting = new HashMap<>();
         for (Job job : cluster.jobs.values()) {
@@ -58,7 +52,7 @@
         }
         List<Job> left = new ArrayList<>();
         if (!waiting.isEmpty()) {
-            waiting.values().forEach(jobs -> jobs.sort(order));
+            waiting.values().forEach(jobs -> jobs.sort(TEAM_ORDER));
             List<Machine> machines = new ArrayList<>();
             Resources total = Resources.NONE;
             for (Machine m : cluster.machines.values()) {
@@ -68,7 +62,7 @@
                 }
             }
             offer(waiting, machines, total, left, now);
-            left.sort(order);
+            left.sort(TEAM_ORDER);
         }
         unplaced = left;
         preemption.run(left, now);
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -97,11 +97,6 @@
         return spec.deadlineS() == null ? Double.POSITIVE_INFINITY : acceptedAt + spec.deadlineS();
     }
 
-    /** Whether a task that started now would, by its owner's estimate, end after the deadline. */
-    boolean late(double now) {
-        return now + spec.estimateS() > deadline();
-    }
-
     /** The zone its tasks are in, if all must share one; -1: still free to choose. */
     int commonZone() {
         if (spec.oneZone()) {
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -84,7 +84,7 @@
                 }
             }
         }
-        possible.sort(Comparator.comparing((Placement p) -> tight(p, now)).thenComparingDouble(p -> p.workAtRisk(now)));
+        possible.sort(Comparator.comparingDouble(p -> p.workAtRisk(now)));
         List<Placement> victims = new ArrayList<>();
         for (Placement p : possible) {
             if (job.team.withinLimit(need.minus(freed))) {
@@ -168,8 +168,7 @@
                 possible.add(p);
             }
         }
-        possible.sort(Comparator.comparing((Placement p) -> p.job.spec.priority()).thenComparing(p -> tight(p, now))
-                .thenComparingDouble(p -> p.workAtRisk(now)));
+        possible.sort(Comparator.comparing((Placement p) -> p.job.spec.priority()).thenComparingDouble(p -> p.workAtRisk(now)));
         List<Placement> victims = new ArrayList<>();
         for (Placement p : possible) {
             if (job.spec.perTask().fitsIn(room)) {
@@ -181,11 +180,6 @@
         return job.spec.perTask().fitsIn(room) ? victims : null;
     }
 
-    /** Stopping it now would probably make its job late. */
-    private static boolean tight(Placement p, double now) {
-        return !Double.isInfinite(p.job.deadline()) && now < p.job.deadline() && p.job.late(now);
-    }
-
     private static boolean mayStop(Job job, Placement p, boolean guaranteed) {
         if (p.job.spec.kind() == JobKind.SERVICE) {
             return false;
