--- a/src/main/java/io/kelphoist/api/UserApi.java
+++ b/src/main/java/io/kelphoist/api/UserApi.java
@@ -1,6 +1,8 @@
 package io.kelphoist.api;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import io.kelphoist.core.JobKind;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobSpec;
@@ -19,7 +21,6 @@
 import io.undertow.server.HttpServerExchange;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -57,14 +58,7 @@
     private final List<String> zones;
     private final int mostValueBytes;
     /** Final states that were read: they never change, so they can be said even without the state service. */
-    private final Map<String, JobStatus> finals = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, JobStatus> eldest) {
-            return size() > MOST_FINALS;
-        }
-    };
+    private final Cache<String, JobStatus> finals = CacheBuilder.newBuilder().maximumSize(MOST_FINALS).concurrencyLevel(1).build();
 
     public UserApi(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, Knowledge knowledge,
                    List<Team> teams, List<String> zones, double valueKb) {
@@ -237,7 +231,7 @@
     private record Unavailable() implements Found { }
 
     private void read(String id, Consumer<Found> handler) {
-        JobStatus known = finals.get(id);
+        JobStatus known = finals.getIfPresent(id);
         if (known != null) {
             handler.accept(new Known(new JobRecord(id, null, known, 0, 0)));
             return;
--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -42,8 +42,8 @@
     }
 
     public Policy policy(Settings s) {
-        return new Policy(s.zones(), s.teams(), s.workers().reportS(), s.workers().leaseS(), s.workers().gangWaitS(),
-                s.workers().gangPeerS(), s.workers().cancelS(), offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
+        return new Policy(s.zones(), s.teams(), s.workers().reportS(), s.workers().leaseS(), s.workers().gangPeerS(),
+                offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
                 (int) Math.max(1, (s.stateLimits().valueKb() * 1024 - RECORD_BYTES) / TASK_BYTES));
     }
 }
--- a/src/main/java/io/kelphoist/config/Settings.java
+++ b/src/main/java/io/kelphoist/config/Settings.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.net.HostAndPort;
 import io.kelphoist.core.Resources;
 import io.kelphoist.core.Team;
 import java.io.IOException;
@@ -152,13 +153,11 @@
 
         private String address(JsonNode m, String name, String at) throws Invalid {
             String v = text(m, name, at);
-            int colon = v.lastIndexOf(':');
             try {
-                int port = Integer.parseInt(v.substring(colon + 1));
-                if (colon > 0 && port >= 0 && port < 65536) {
+                if (HostAndPort.fromString(v).hasPort()) {
                     return v;
                 }
-            } catch (NumberFormatException e) {
+            } catch (IllegalArgumentException e) {
                 // Said below.
             }
             throw new Invalid(file, at + name, "'" + v + "' is not host:port");
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -271,7 +271,6 @@
             if (m == null) {
                 continue;
             }
-            m.listed = true;
             if (c.state() == CloudMachine.CloudState.FAILED && m.to(Machine.State.RETURNING, now)) {
                 // It stopped by itself: nothing runs there any more.
                 LOG.info("machine {} failed, {} tasks with it", m.name, m.placements.size());
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -52,7 +52,6 @@
     /** Gets no new work so that it can go back; takes work again when some waits. */
     boolean emptying;
     double ordersRetryAt;
-    boolean listed;
     Resources used = Resources.NONE;
     /** Pieces held for gangs. */
     Resources held = Resources.NONE;
--- a/src/main/java/io/kelphoist/core/Policy.java
+++ b/src/main/java/io/kelphoist/core/Policy.java
@@ -4,7 +4,7 @@
 
 /** What the settings fix for the core. Times are seconds. */
 public record Policy(
-        List<String> zones, List<Team> teams, double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS,
+        List<String> zones, List<Team> teams, double reportS, double leaseS, double gangPeerS,
         double offerS, double localityWaitS, double machineHoldS, double gangHoldS, double headroom, double idleS, int mostTasksPerMachine) {
     /** Clocks of two machines drift apart by no more than this share. */
     public static final double DRIFT = 0.0005;
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package io.kelphoist.daemon;
 
+import com.google.common.net.HostAndPort;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
 import io.kelphoist.wire.Codec;
@@ -55,6 +56,8 @@
             }
         });
         Controller controller = made.join();
+        HostAndPort serve = HostAndPort.fromString(settings.serveOn());
+        HostAndPort listen = HostAndPort.fromString(settings.peerListen());
         Daemon[] self = new Daemon[1];
         Undertow server = Undertow.builder()
                 .setWorker(worker)
@@ -65,8 +68,8 @@
                 .setSocketOption(Options.BACKLOG, BACKLOG)
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
                 .setSocketOption(Options.TCP_NODELAY, true)
-                .addHttpListener(port(settings.serveOn()), host(settings.serveOn()), exchange -> self[0].serve(exchange))
-                .addHttpListener(port(settings.peerListen()), host(settings.peerListen()), peerHandler(controller))
+                .addHttpListener(serve.getPort(), serve.getHost(), exchange -> self[0].serve(exchange))
+                .addHttpListener(listen.getPort(), listen.getHost(), peerHandler(controller))
                 .build();
         self[0] = new Daemon(worker, server, controller);
         server.start();
@@ -74,14 +77,6 @@
         return self[0];
     }
 
-    private static String host(String address) {
-        return address.substring(0, address.lastIndexOf(':'));
-    }
-
-    private static int port(String address) {
-        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
-    }
-
     private void serve(HttpServerExchange exchange) {
         String path = exchange.getRequestPath();
         String method = exchange.getRequestMethod().toString();
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -94,7 +94,7 @@
     // ---- the cluster's side ----
 
     private void term(long term) {
-        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 30, 8, 30, 5, 3, 20, 15, 0, 40, 100);
+        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, 100);
         cluster = new Cluster(policy, this, term, types, now);
         orders.clear();
         stored.clear();
