--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -47,6 +47,7 @@
     final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
     /** Machines that were confirmed gone. Names are never used twice, late messages of them mean nothing. */
     private final Object2ObjectOpenHashMap<String, Boolean> gone = new Object2ObjectOpenHashMap<>();
+    private final List<String> staleRecords = new ArrayList<>();
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
@@ -215,6 +216,33 @@
         }
     }
 
+    /** The outcome of {@link Effects#dropMachine}. */
+    public void onMachineDropped(String name, boolean dropped) {
+        Machine m = machines.get(name);
+        if (m != null) {
+            m.dropping = false;
+            m.hasRecord &= !dropped;
+        } else if (!dropped) {
+            staleRecords.add(name);
+        }
+    }
+
+    /**
+     * Records of machines that are gone, or on which surely nothing runs: the next term would wait for them in vain.
+     * Tried until it is done, as the state service may be down.
+     */
+    private void dropRecords() {
+        for (Machine m : machines.values()) {
+            if (m.state() == Machine.State.LOST && m.hasRecord && !m.dropping && m.recording.isEmpty()) {
+                m.dropping = true;
+                effects.dropMachine(m.name);
+            }
+        }
+        List<String> names = List.copyOf(staleRecords);
+        staleRecords.clear();
+        names.forEach(effects::dropMachine);
+    }
+
     /** The outcome of {@link Effects#storeMachine}. */
     public void onMachineStored(String name, boolean stored) {
         Machine m = machines.get(name);
@@ -296,7 +324,7 @@
      * gone is left out, so that a record never grows old.
      */
     private void record(Machine m) {
-        if (!m.recording.isEmpty()) {
+        if (!m.recording.isEmpty() || m.dropping) {
             return;
         }
         List<Placement> all = new ArrayList<>();
@@ -743,7 +771,7 @@
                 vanish(p, now);
             }
             if (m.hasRecord) {
-                effects.dropMachine(name);
+                staleRecords.add(name);
             }
         }
     }
@@ -770,6 +798,7 @@
             allocator.run(now);
             fleet.run(allocator.unplaced(), now);
         }
+        dropRecords();
         machines.values().forEach(this::record);
         flush(now);
     }
@@ -813,10 +842,6 @@
         }
         if (m.to(Machine.State.LOST, now)) {
             // Nothing runs there, so the next term need not wait for it either.
-            if (m.hasRecord) {
-                effects.dropMachine(m.name);
-                m.hasRecord = false;
-            }
             m.recording = List.of();
         }
     }
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -17,6 +17,7 @@
     /** Stores what may be on a machine; outcome: {@link Cluster#onMachineStored}. */
     void storeMachine(Machine machine, MachineContents contents);
 
+    /** Drops a machine's record; outcome: {@link Cluster#onMachineDropped}. */
     void dropMachine(String machine);
 
     /** Rents machines; outcome: {@link Cluster#onRented}. */
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -287,8 +287,10 @@
 
     void dropMachine(String name) {
         String key = Keys.machine(name);
-        if (versions.getOrDefault(key, 0L) != 0) {
-            own(key, null, 100, ok -> { });
+        if (versions.getOrDefault(key, 0L) == 0) {
+            cluster.onMachineDropped(name, true);
+        } else {
+            own(key, null, 100, ok -> cluster.onMachineDropped(name, ok));
         }
     }
 
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -31,7 +31,6 @@
     private final List<Rental> rentals = new ArrayList<>();
     private final Set<String> returned = new TreeSet<>();
     private final Set<String> recorded = new TreeSet<>();
-    private final Set<String> dropped = new TreeSet<>();
     private boolean machineStoreWorks = true;
     private Election election;
     private final List<String> asked = new ArrayList<>();
@@ -287,8 +286,10 @@
 
     @Override
     public void dropMachine(String machine) {
-        dropped.add(machine);
-        recorded.removeIf(r -> r.startsWith(machine + ":"));
+        if (machineStoreWorks) {
+            recorded.removeIf(r -> r.startsWith(machine + ":"));
+        }
+        cluster.onMachineDropped(machine, machineStoreWorks);
     }
 
     @Override
