--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -44,6 +44,6 @@
     public Policy policy(Settings s) {
         return new Policy(s.zones(), s.teams(), s.workers().reportS(), s.workers().leaseS(), s.workers().gangPeerS(),
                 offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
-                (int) Math.max(1, (s.stateLimits().valueKb() * 1024 - RECORD_BYTES) / TASK_BYTES));
+                (int) Math.max(1, (s.stateLimits().valueKb() * 1024 - RECORD_BYTES) / TASK_BYTES), s.startWithinS());
     }
 }
--- a/src/main/java/io/kelphoist/config/Settings.java
+++ b/src/main/java/io/kelphoist/config/Settings.java
@@ -9,14 +9,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** The file that the platform hands over. Unknown fields are ignored, wrong ones are named. */
 public record Settings(
         String node, String zone, String serveOn, String peerListen, List<Peer> peers, String cloud, String state,
-        List<String> zones, List<Team> teams, Workers workers, StateLimits stateLimits, CloudLimits cloudLimits) {
+        List<String> zones, List<Team> teams, Workers workers, StateLimits stateLimits, CloudLimits cloudLimits, Map<String, Double> startWithinS) {
 
     public record Peer(String node, String zone, String address) { }
 
@@ -97,7 +99,23 @@
                             positive(w, "cancel_s", "cluster.workers.")),
                     new StateLimits(positive(s, "rps", "cluster.state."), positive(s, "write_rps", "cluster.state."),
                             positive(s, "value_kb", "cluster.state."), (int) Math.max(1, positive(s, "txn_ops", "cluster.state."))),
-                    new CloudLimits(positive(c, "rps", "cluster.cloud."), positive(c, "list_lag_s", "cluster.cloud.")));
+                    new CloudLimits(positive(c, "rps", "cluster.cloud."), positive(c, "list_lag_s", "cluster.cloud.")),
+                    startWithin(cluster));
+        }
+
+        /** The shortest time in which tasks of a class are expected to start. */
+        private Map<String, Double> startWithin(JsonNode cluster) throws Invalid {
+            Map<String, Double> within = new HashMap<>();
+            if (cluster.hasNonNull("objectives")) {
+                int i = 0;
+                for (JsonNode o : list(cluster, "objectives", "cluster.")) {
+                    String at = "cluster.objectives[" + i++ + "].";
+                    if (o.path("kind").asText().equals("wait")) {
+                        within.merge(text(o, "class", at), positive(o, "within_s", at), Math::min);
+                    }
+                }
+            }
+            return Map.copyOf(within);
         }
 
         private Team team(JsonNode t, String at) throws Invalid {
--- a/src/main/java/io/kelphoist/core/Policy.java
+++ b/src/main/java/io/kelphoist/core/Policy.java
@@ -1,11 +1,16 @@
 package io.kelphoist.core;
 
 import java.util.List;
+import java.util.Map;
 
-/** What the settings fix for the core. Times are seconds. */
+/**
+ * What the settings fix for the core. Times are seconds.
+ *
+ * @param startWithinS for each class that has such an aim, the time within which its tasks should start
+ */
 public record Policy(
         List<String> zones, List<Team> teams, double reportS, double leaseS, double gangPeerS,
-        double offerS, double localityWaitS, double machineHoldS, double gangHoldS, double headroom, double idleS, int mostTasksPerMachine) {
+        double offerS, double localityWaitS, double machineHoldS, double gangHoldS, double headroom, double idleS, int mostTasksPerMachine, Map<String, Double> startWithinS) {
     /** Clocks of two machines drift apart by no more than this share. */
     public static final double DRIFT = 0.0005;
 }
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -20,6 +20,8 @@
     private static final double LOST_WORK = 0.05;
     /** Nothing is stopped to save a fetch that is shorter than this. */
     private static final double WORTH_STOPPING_S = 1.0;
+    /** Fetches are slower than said by up to a third. */
+    private static final double SLOW_FETCH = 1.33;
     private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
     private final Cluster cluster;
 
@@ -117,8 +119,15 @@
         return true;
     }
 
-    /** Whether a start after stopping something comes sooner than one that has to fetch its image for so long. */
+    /**
+     * Whether a start after stopping something comes sooner than one that has to fetch its image for so long. Nothing is
+     * stopped for a start that is soon enough for its class anyway.
+     */
     boolean beats(double fetchS, Job job, double now) {
+        double aim = cluster.policy.startWithinS().getOrDefault(job.spec.jobClass(), 0.0);
+        if (now - job.acceptedAt + fetchS * SLOW_FETCH < aim) {
+            return false;
+        }
         if (fetchS < WORTH_STOPPING_S || alreadyHolds(job, now)) {
             return fetchS >= WORTH_STOPPING_S;
         }
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -93,7 +93,7 @@
     // ---- the cluster's side ----
 
     private void term(long term) {
-        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, 100);
+        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, 100, Map.of("relaxed", 15.0));
         cluster = new Cluster(policy, this, term, types, now);
         orders.clear();
         stored.clear();
@@ -137,7 +137,7 @@
     }
 
     private JobSpec spec(String id, Map<String, String> with) {
-        return new JobSpec(id, "class", with.getOrDefault("team", teams.get(0).name()),
+        return new JobSpec(id, with.getOrDefault("class", "class"), with.getOrDefault("team", teams.get(0).name()),
                 JobKind.valueOf(with.getOrDefault("kind", "array").toUpperCase()),
                 Priority.valueOf(with.getOrDefault("priority", "normal").toUpperCase()), (int) number(with, "tasks", 1),
                 new Resources(number(with, "cpus", 1), number(with, "gpus", 1), number(with, "mem", 1)), null, with.get("zone"),
