--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -120,19 +120,20 @@
     }
 
     /**
-     * Whether a start after stopping something comes sooner than one that has to fetch its image for so long. Nothing is
-     * stopped for a start that is soon enough for its class anyway.
+     * Whether a start after stopping something comes sooner than one that has to fetch its image for so long. Work with
+     * a deadline is not stopped for a start that is soon enough for its class anyway.
      */
     boolean beats(double fetchS, Job job, double now) {
-        double aim = cluster.policy.startWithinS().getOrDefault(job.spec.jobClass(), 0.0);
-        if (now - job.acceptedAt + fetchS * SLOW_FETCH < aim) {
-            return false;
-        }
         if (fetchS < WORTH_STOPPING_S || alreadyHolds(job, now)) {
             return fetchS >= WORTH_STOPPING_S;
         }
         Plan plan = plan(job, now);
-        return plan != null && !plan.victims.isEmpty() && plan.cost < fetchS;
+        if (plan == null || plan.victims.isEmpty() || plan.cost >= fetchS) {
+            return false;
+        }
+        double aim = cluster.policy.startWithinS().getOrDefault(job.spec.jobClass(), 0.0);
+        boolean soonEnough = now - job.acceptedAt + fetchS * SLOW_FETCH < aim;
+        return !soonEnough || plan.victims.stream().noneMatch(v -> v.job.spec.deadlineS() != null);
     }
 
     /** Where one task of the job would start soonest, what has to stop for it, and what that costs in seconds. */
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -142,7 +142,8 @@
                 Priority.valueOf(with.getOrDefault("priority", "normal").toUpperCase()), (int) number(with, "tasks", 1),
                 new Resources(number(with, "cpus", 1), number(with, "gpus", 1), number(with, "mem", 1)), null, with.get("zone"),
                 with.containsKey("one-zone"), with.containsKey("spread"), with.containsKey("spot"), with.getOrDefault("image", "img"), 1,
-                60, number(with, "checkpoint", 0), number(with, "save", 0), null);
+                60, number(with, "checkpoint", 0), number(with, "save", 0),
+                with.containsKey("deadline") ? Double.valueOf(with.get("deadline")) : null);
     }
 
     /** report vm-1 SESSION SEQ TOKEN [notice=S] [JOB/TASK=PHASE[:EXIT]][@ATTEMPT]... */
