--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -44,7 +44,7 @@
 
     void run(double now) {
         gangs.releaseStale(now);
-        Map<TeamState, List<Job>> waiting = new HashMap<>();
+        Map<TeamState, List<Job>> waiting = new LinkedHashMap<>();
         for (Job job : cluster.jobs.values()) {
             if (job.active() && !job.pending.isEmpty() && now >= job.retryAt) {
                 waiting.computeIfAbsent(job.team, k -> new ArrayList<>()).add(job);
@@ -69,7 +69,7 @@
     }
 
     private void offer(Map<TeamState, List<Job>> waiting, List<Machine> machines, Resources total, List<Job> left, double now) {
-        Set<TeamState> open = new HashSet<>(waiting.keySet());
+        Set<TeamState> open = new LinkedHashSet<>(waiting.keySet());
         int starts = 0;
         while (!open.isEmpty() && starts < MOST_STARTS) {
             TeamState team = null;
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -246,7 +246,7 @@
             String verb = c instanceof Command.Start ? "start" : c instanceof Command.Stop s ? "stop" + (s.graceS() > 0 ? "+" : "") : "forget";
             words.add(verb + " " + c.job() + "/" + c.task());
         }
-        words.sort(Comparator.comparing((String s) -> s.startsWith("stop")));
+        words.sort(Comparator.comparing((String s) -> s.startsWith("stop")).thenComparing(s -> s));
         return words.isEmpty() ? "none" : String.join(", ", words);
     }
 
--- a/src/test/java/io/kelphoist/daemon/EndToEndTest.java
+++ b/src/test/java/io/kelphoist/daemon/EndToEndTest.java
@@ -64,6 +64,10 @@
                     .formatted(names[i], serving.get(i), peers[i], names[1 - i], peers[1 - i], cloud.address(), state.address()));
             settings.add(Settings.read(file));
         }
+        startAll();
+    }
+
+    private void startAll() throws IOException {
         for (Settings s : settings) {
             daemons.add(Daemon.start(s, QUICK, System.nanoTime() * 1e-9));
         }
@@ -174,6 +178,34 @@
         assertNull(ledger.broken());
     }
 
+    @Test
+    void allControllersRestart() throws Exception {
+        assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-95", "standing", 1)).statusCode());
+        assertEquals(201, insist(serving.get(1), "POST", "/work", job("job-12", "batch", 2)).statusCode());
+        ledger.awaitRunning("job-95/0", true);
+        state.await("j/job-12", v -> v.path("status").asText().equals("done"));
+        long term = state.await("k/term", v -> true).path("term").asLong();
+        daemons.forEach(Daemon::stop);
+        daemons.clear();
+        startAll();
+        state.await("k/term", v -> v.path("term").asLong() > term);
+        assertEquals("done", status(serving.get(0), "job-12"));
+        assertEquals(201, insist(serving.get(1), "POST", "/work", job("job-96", "standing", 1)).statusCode());
+        ledger.awaitRunning("job-96/0", true);
+        assertEquals(1, ledger.starts("job-95/0"));
+        assertNull(ledger.broken());
+    }
+
+    /** A transaction without an answer may be applied minutes later: it must not bring an older record back. */
+    @Test
+    void lateTransactionChangesNothing() throws Exception {
+        state.holdNext("m/");
+        assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-97", "standing", 1)).statusCode());
+        ledger.awaitRunning("job-97/0", true);
+        assertEquals(409, state.applyHeld());
+        assertNull(ledger.broken());
+    }
+
     @Test
     void saysNothingItIsNotSureOf() throws Exception {
         assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-93", "standing", 1)).statusCode());
--- a/src/test/java/io/kelphoist/daemon/StateStandIn.java
+++ b/src/test/java/io/kelphoist/daemon/StateStandIn.java
@@ -27,6 +27,8 @@
     private long lastLease;
     private boolean down;
     private boolean closed;
+    private String holdPrefix;
+    private ObjectNode held;
 
     synchronized void down(boolean isDown) {
         down = isDown;
@@ -48,6 +50,19 @@
         }
     }
 
+    /** The next transaction that puts below this prefix gets no useful answer and is kept. */
+    synchronized void holdNext(String prefix) {
+        holdPrefix = prefix;
+    }
+
+    /** Applies the kept transaction late; returns its status. */
+    synchronized int applyHeld() throws InterruptedException {
+        while (held == null) {
+            wait();
+        }
+        return txn(held).status();
+    }
+
     /** Open watches end first, so that nothing waits for them. */
     @Override
     public void close() {
@@ -96,6 +111,14 @@
         }
         expire();
         if (path.equals("/txn")) {
+            for (JsonNode a : body.path("apply")) {
+                if (holdPrefix != null && a.path("put").asText().startsWith(holdPrefix)) {
+                    held = body;
+                    holdPrefix = null;
+                    notifyAll();
+                    return new Reply(500, Cbor.map());
+                }
+            }
             return txn(body);
         } else if (path.equals("/kv")) {
             return range(query(exchange, "starts", ""), query(exchange, "after", ""), Integer.parseInt(query(exchange, "limit", "1000")));
