--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -655,6 +655,10 @@
         Placement p = new Placement(job, task, attempt, m, m.session, now);
         m.placements.add(p);
         count(p);
+        if (m.heldFor == job) {
+            // It served its purpose; for the next task another machine may be nearer to fitting, or the only one allowed.
+            m.heldFor = null;
+        }
         LOG.debug("start {}/{} attempt {} on {}, waited {} s, fetch {} s, used {}", job.spec.id(), task, attempt, m.name,
                 round(now - job.waitingSince), round(Placing.fetchSeconds(job, m)), m.used);
     }
