A record write that is open when its machine is lost stays open

Found by reading: the loss forgot the open write, whose outcome then marked a later list as stored, so that starts could go out that were not on record.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -844,10 +844,7 @@
         for (Placement p : new ArrayList<>(m.placements)) {
             vanish(p, now);
         }
-        if (m.to(Machine.State.LOST, now)) {
-            // Nothing runs there, so the next term need not wait for it either.
-            m.recording = List.of();
-        }
+        m.to(Machine.State.LOST, now);
     }
 
     /** Stops what can save before the cloud takes the machine, as late as is safe. */
