--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -33,6 +33,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -95,7 +96,11 @@
 
             @Override
             public void after(double seconds, Runnable task) {
-                thread.executeAfter(() -> guarded(task), Math.max(1, Math.round(seconds * 1000)), TimeUnit.MILLISECONDS);
+                try {
+                    thread.executeAfter(() -> guarded(task), Math.max(1, Math.round(seconds * 1000)), TimeUnit.MILLISECONDS);
+                } catch (RejectedExecutionException e) {
+                    LOG.debug("stopping, nothing comes later");
+                }
             }
         };
         state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, 4), loop,
--- /dev/null
+++ b/src/test/java/io/kelphoist/config/SettingsTest.java
@@ -0,0 +1,65 @@
+package io.kelphoist.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsTest {
+    private static final String GOOD = """
+            {"label":"a","site":"z","serve_on":"127.0.0.1:80","peer_listen":"127.0.0.1:81","news":1,
+             "known":[{"label":"b","site":"z","peer_addr":"127.0.0.1:82"}],
+             "external":{"cloud":"127.0.0.1:1","state":"127.0.0.1:2"},
+             "cluster":{"zones":["z"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":4,"gpus_max":8}],
+             "workers":{"report_s":1,"lease_s":9,"gang_wait_s":9,"gang_peer_s":9,"cancel_s":9},
+             "state":{"rps":100,"write_rps":100,"value_kb":4,"txn_ops":8},"cloud":{"rps":5,"list_lag_s":4}}}""";
+    @TempDir
+    private Path dir;
+
+    private Path file(String text) throws IOException {
+        return Files.writeString(dir.resolve("settings"), text);
+    }
+
+    private void wrong(String from, String to, String said) throws IOException {
+        Path file = file(GOOD.replace(from, to));
+        Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> Settings.read(file));
+        assertTrue(e.getMessage().endsWith(said), e.getMessage());
+    }
+
+    @Test
+    void reads() throws IOException, Settings.Invalid {
+        Settings s = Settings.read(file(GOOD));
+        assertEquals(2, s.controllers());
+        assertEquals(8, s.teams().get(0).limit().gpus());
+        assertEquals(Double.POSITIVE_INFINITY, s.teams().get(0).limit().cpus());
+    }
+
+    @Test
+    void namesWhatIsWrong() throws IOException {
+        wrong("{\"label\":\"a\"", "{\"label\":3", "label: is not text");
+        wrong("127.0.0.1:80\"", "127.0.0.1\"", "serve_on: '127.0.0.1' is not host:port");
+        wrong("\"lease_s\":9,", "", "cluster.workers.lease_s: is missing");
+        wrong("\"gpus\":4", "\"gpus\":-4", "cluster.teams[0].gpus: is not an amount");
+        wrong("\"label\":\"b\"", "\"label\":\"a\"", "known[0].label: 'a' is there twice");
+        wrong("\"rps\":100,\"write", "\"rps\":0,\"write", "cluster.state.rps: is not positive");
+        wrong("{\"label\"", "{,\"label\"", "not JSON at line 1");
+    }
+
+    @Test
+    void operatorsOwnFile() throws IOException, Settings.Invalid {
+        OperatorSettings o = OperatorSettings.read(file("# ours\nheadroom: 0.25 leader_lease_ms: 4000"));
+        assertEquals(0.25, o.headroom());
+        assertEquals(4000, o.leaderLeaseMs());
+        assertEquals(OperatorSettings.DEFAULT.idleS(), o.idleS());
+        assertEquals(OperatorSettings.DEFAULT, OperatorSettings.read(file("")));
+        Path wrong = file("headroom: 99");
+        assertTrue(assertThrows(Settings.Invalid.class, () -> OperatorSettings.read(wrong)).getMessage().contains("headroom: 99.0 is not within"));
+        Path broken = file("headroom: \n offer_s x");
+        assertTrue(assertThrows(Settings.Invalid.class, () -> OperatorSettings.read(broken)).getMessage().contains("line "));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kelphoist/daemon/EndToEndTest.java
@@ -0,0 +1,192 @@
+package io.kelphoist.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.config.OperatorSettings;
+import io.kelphoist.config.Settings;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Two controllers on loopback against stand-ins. What happens is decided by events at these; the time limit only ends a
+ * test that waits for one in vain.
+ */
+@Timeout(90)
+class EndToEndTest {
+    private static final OperatorSettings QUICK = new OperatorSettings(600, 500, 5, 1, 20, 15, 0.1, 40);
+    @TempDir
+    private Path dir;
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4);
+    private final WorkerStandIn.Ledger ledger = new WorkerStandIn.Ledger();
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final List<String> serving = new ArrayList<>();
+    private final List<Settings> settings = new ArrayList<>();
+    private StateStandIn state;
+    private CloudStandIn cloud;
+
+    @BeforeEach
+    void start() throws IOException, Settings.Invalid {
+        state = new StateStandIn();
+        cloud = new CloudStandIn((name, zone) -> new WorkerStandIn(name, zone, serving, ledger, timers, 150));
+        String[] names = {"a", "b"};
+        String[] peers = {free(), free()};
+        serving.addAll(List.of(free(), free()));
+        for (int i = 0; i < 2; i++) {
+            Path file = Files.writeString(dir.resolve(names[i]), """
+                    {"label":"%s","site":"z","serve_on":"%s","peer_listen":"%s","known":[{"label":"%s","site":"z","peer_addr":"%s"}],
+                     "external":{"cloud":"%s","state":"%s"},
+                     "cluster":{"zones":["z"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":4,"gpus_max":8}],
+                     "workers":{"report_s":0.2,"lease_s":6,"gang_wait_s":9,"gang_peer_s":2,"cancel_s":9},
+                     "state":{"rps":1000,"write_rps":500,"value_kb":4,"txn_ops":8},"cloud":{"rps":20,"list_lag_s":1}}}"""
+                    .formatted(names[i], serving.get(i), peers[i], names[1 - i], peers[1 - i], cloud.address(), state.address()));
+            settings.add(Settings.read(file));
+        }
+        for (Settings s : settings) {
+            daemons.add(Daemon.start(s, QUICK, System.nanoTime() * 1e-9));
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        daemons.forEach(Daemon::stop);
+        timers.shutdownNow();
+        cloud.close();
+        state.close();
+    }
+
+    private static String free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + s.getLocalPort();
+        }
+    }
+
+    private HttpResponse<byte[]> call(String node, String method, String path, byte[] body) throws IOException, InterruptedException {
+        return http.send(HttpRequest.newBuilder(URI.create("http://" + node + path))
+                .method(method, body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofByteArray(body)).build(),
+                HttpResponse.BodyHandlers.ofByteArray());
+    }
+
+    private static byte[] job(String id, String rig, int tasks) throws BadMessage {
+        return Cbor.encode(Cbor.decodeJson("""
+                {"name_id":"%s","catch":"c","crew":"t","rig":"%s","tide":"normal","fronds":%d,"cpus":1.0,"accelerators":1.0,
+                 "ram_gb":1.0,"spore":"i","image_gb":1.0,"hulls":null,"bed":null,"same_place":false,"scatter":false,"driftwood":true,
+                 "haul_s":1.0,"mooring_s":0.0,"stow_s":0.0,"landfall_s":null}""".formatted(id, rig, tasks).getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** As a user does: again while the answer is 503. */
+    private HttpResponse<byte[]> insist(String node, String method, String path, byte[] body) throws IOException, InterruptedException {
+        HttpResponse<byte[]> r = call(node, method, path, body);
+        while (r.statusCode() == 503) {
+            r = call(node, method, path, body);
+        }
+        return r;
+    }
+
+    private String status(String node, String id) throws IOException, InterruptedException, BadMessage {
+        HttpResponse<byte[]> r = insist(node, "GET", "/work/" + id, null);
+        assertEquals(200, r.statusCode());
+        return Cbor.decode(r.body()).path("sway").asText();
+    }
+
+    private String leader() throws InterruptedException {
+        return state.await("k/leader", v -> true).path("node").asText();
+    }
+
+    @Test
+    void runsWhatIsAcceptedByAnyController() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            String id = "job-1" + i;
+            assertEquals(201, insist(serving.get(i), "POST", "/work", job(id, "batch", 3)).statusCode());
+            assertEquals(200, insist(serving.get(1 - i), "POST", "/work", job(id, "batch", 3)).statusCode());
+        }
+        for (String id : List.of("job-10", "job-11")) {
+            state.await("j/" + id, v -> v.path("status").asText().equals("done"));
+            assertEquals("done", status(serving.get(0), id));
+            assertEquals("done", status(serving.get(1), id));
+            assertEquals(200, insist(serving.get(0), "POST", "/work", job(id, "batch", 3)).statusCode());
+        }
+        assertNull(ledger.broken());
+        String metrics = new String(call(serving.get(0), "GET", "/metrics", null).body(), StandardCharsets.UTF_8);
+        assertTrue(metrics.contains("kelphoist_leader"), metrics);
+    }
+
+    @Test
+    void refusesWhatItMust() throws Exception {
+        String node = serving.get(0);
+        assertEquals(201, insist(node, "POST", "/work", job("job-1", "batch", 1)).statusCode());
+        assertEquals(400, call(node, "POST", "/work", "{}".getBytes(StandardCharsets.UTF_8)).statusCode());
+        assertEquals(400, call(node, "POST", "/work", new byte[70 * 1024]).statusCode());
+        assertEquals(400, call(node, "POST", "/work", job("work-1", "batch", 1)).statusCode());
+        ObjectNode stranger = Cbor.decode(job("job-2", "batch", 1)).put("crew", "nobody");
+        assertEquals(422, insist(node, "POST", "/work", Cbor.encode(stranger)).statusCode());
+        ObjectNode huge = Cbor.decode(job("job-2", "batch", 1)).put("cpus", 9.0);
+        assertEquals(422, insist(node, "POST", "/work", Cbor.encode(huge)).statusCode());
+        assertEquals(422, insist(node, "POST", "/work", job("job-2", "ensemble", 9)).statusCode());
+        assertEquals(404, insist(node, "GET", "/work/job-2", null).statusCode());
+        assertEquals(404, insist(node, "POST", "/work/job-2/cancel", null).statusCode());
+        assertEquals(400, call(node, "POST", "/v1/report", new byte[] {1, 2}).statusCode());
+    }
+
+    @Test
+    void keepsAndCancelsAcrossTakeOver() throws Exception {
+        assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-91", "standing", 2)).statusCode());
+        ledger.awaitRunning("job-91/0", true);
+        ledger.awaitRunning("job-91/1", true);
+        int old = leader().equals("a") ? 0 : 1;
+        daemons.get(old).stop();
+        daemons.remove(old);
+        String other = old == 0 ? "b" : "a";
+        state.await("k/leader", v -> v.path("node").asText().equals(other));
+        String node = serving.get(1 - old);
+        assertEquals(201, insist(node, "POST", "/work", job("job-92", "standing", 1)).statusCode());
+        ledger.awaitRunning("job-92/0", true);
+        // What ran goes on running where it is.
+        assertEquals(1, ledger.starts("job-91/0"));
+        HttpResponse<byte[]> cancelled = insist(node, "POST", "/work/job-91/cancel", null);
+        assertEquals("aborted", Cbor.decode(cancelled.body()).path("sway").asText());
+        ledger.awaitRunning("job-91/0", false);
+        ledger.awaitRunning("job-91/1", false);
+        assertEquals("aborted", status(node, "job-91"));
+        assertEquals(200, insist(node, "POST", "/work", job("job-91", "standing", 2)).statusCode());
+        assertNull(ledger.broken());
+    }
+
+    @Test
+    void saysNothingItIsNotSureOf() throws Exception {
+        assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-93", "standing", 1)).statusCode());
+        ledger.awaitRunning("job-93/0", true);
+        state.down(true);
+        assertEquals(503, call(serving.get(0), "GET", "/work/job-93", null).statusCode());
+        assertEquals(503, call(serving.get(1), "POST", "/work/job-93/cancel", null).statusCode());
+        HttpResponse<byte[]> refused = call(serving.get(1), "POST", "/work", job("job-94", "standing", 1));
+        assertEquals(503, refused.statusCode());
+        assertEquals("1", refused.headers().firstValue("Retry-After").orElse(""));
+        state.down(false);
+        assertEquals("aborted", Cbor.decode(insist(serving.get(1), "POST", "/work/job-93/cancel", null).body()).path("sway").asText());
+        ledger.awaitRunning("job-93/0", false);
+        assertNull(ledger.broken());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kelphoist/daemon/StandIn.java
@@ -0,0 +1,48 @@
+package io.kelphoist.daemon;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+
+/** An outside system on a loopback port, by its protocol. Handlers may block. */
+abstract class StandIn implements AutoCloseable {
+    /** What to answer. */
+    record Reply(int status, ObjectNode body) { }
+
+    private final Undertow server;
+
+    StandIn() {
+        server = Undertow.builder().setIoThreads(1).setWorkerThreads(24).addHttpListener(0, "127.0.0.1", new BlockingHandler(this::handle)).build();
+        server.start();
+    }
+
+    final String address() {
+        InetSocketAddress a = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return "127.0.0.1:" + a.getPort();
+    }
+
+    private void handle(HttpServerExchange exchange) throws IOException, BadMessage, InterruptedException {
+        byte[] body = exchange.getInputStream().readAllBytes();
+        Reply reply = answer(exchange, body.length == 0 ? Cbor.map() : Cbor.decode(body));
+        exchange.setStatusCode(reply.status());
+        exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.encode(reply.body())));
+    }
+
+    static String query(HttpServerExchange exchange, String name, String otherwise) {
+        var values = exchange.getQueryParameters().get(name);
+        return values == null ? otherwise : values.getFirst();
+    }
+
+    abstract Reply answer(HttpServerExchange exchange, ObjectNode body) throws InterruptedException;
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kelphoist/daemon/StateStandIn.java
@@ -0,0 +1,202 @@
+package io.kelphoist.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.wire.Cbor;
+import io.undertow.server.HttpServerExchange;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/** The state service. Its lock's monitor is notified of every change, so that tests can wait for one. */
+final class StateStandIn extends StandIn {
+    private record Item(JsonNode value, long version, long lease) { }
+
+    private record Lease(long ttlMs, long endsAt) { }
+
+    private record Event(String key, ObjectNode event, long revision) { }
+
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final List<Event> events = new ArrayList<>();
+    private long revision;
+    private long lastLease;
+    private boolean down;
+    private boolean closed;
+
+    synchronized void down(boolean isDown) {
+        down = isDown;
+        if (!isDown) {
+            leases.replaceAll((id, l) -> new Lease(l.ttlMs, nowMs() + l.ttlMs));
+        }
+        notifyAll();
+    }
+
+    /** Waits for a key to have such a value; the test's own time limit ends a wait in vain. */
+    synchronized JsonNode await(String key, Predicate<JsonNode> wanted) throws InterruptedException {
+        while (true) {
+            expire();
+            Item item = items.get(key);
+            if (item != null && wanted.test(item.value)) {
+                return item.value;
+            }
+            wait(50);
+        }
+    }
+
+    /** Open watches end first, so that nothing waits for them. */
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+            notifyAll();
+        }
+        super.close();
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private void expire() {
+        if (down) {
+            return;
+        }
+        leases.entrySet().removeIf(e -> {
+            boolean over = e.getValue().endsAt < nowMs();
+            if (over) {
+                dropKeys(e.getKey());
+            }
+            return over;
+        });
+    }
+
+    private void dropKeys(long lease) {
+        List<String> keys = items.entrySet().stream().filter(i -> i.getValue().lease == lease).map(Map.Entry::getKey).toList();
+        for (String key : keys) {
+            delete(key, ++revision);
+        }
+    }
+
+    private void delete(String key, long at) {
+        items.remove(key);
+        events.add(new Event(key, Cbor.map().put("delete", key).put("entry", at), at));
+        notifyAll();
+    }
+
+    @Override
+    synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) throws InterruptedException {
+        String path = exchange.getRequestPath();
+        if (down && !path.equals("/changes")) {
+            return new Reply(503, Cbor.map());
+        }
+        expire();
+        if (path.equals("/txn")) {
+            return txn(body);
+        } else if (path.equals("/kv")) {
+            return range(query(exchange, "starts", ""), query(exchange, "after", ""), Integer.parseInt(query(exchange, "limit", "1000")));
+        } else if (path.startsWith("/kv/")) {
+            Item item = items.get(path.substring(4));
+            return item == null ? new Reply(404, Cbor.map().put("logbook", revision)) : new Reply(200, describe(path.substring(4), item));
+        } else if (path.equals("/changes")) {
+            return changes(query(exchange, "starts", ""), Long.parseLong(query(exchange, "after", "0")),
+                    nowMs() + Long.parseLong(query(exchange, "hold_ms", "0")));
+        } else if (path.equals("/leases")) {
+            long ttl = body.path("ttl_ms").asLong();
+            leases.put(++lastLease, new Lease(ttl, nowMs() + ttl));
+            return new Reply(200, Cbor.map().put("tether", lastLease));
+        }
+        long id = Long.parseLong(path.split("/")[2]);
+        Lease lease = leases.get(id);
+        if (lease == null) {
+            return new Reply(404, Cbor.map());
+        }
+        if (path.endsWith("/renew")) {
+            leases.put(id, new Lease(lease.ttlMs, nowMs() + lease.ttlMs));
+        } else {
+            leases.remove(id);
+            dropKeys(id);
+        }
+        return new Reply(200, Cbor.map());
+    }
+
+    private static ObjectNode describe(String key, Item item) {
+        ObjectNode m = Cbor.map().put("key", key).put("entry", item.version).put("tether", item.lease);
+        m.set("value", item.value);
+        return m;
+    }
+
+    private Reply range(String prefix, String after, int limit) {
+        ObjectNode m = Cbor.map().put("logbook", revision);
+        ArrayNode list = m.putArray("items");
+        boolean more = false;
+        for (var e : items.tailMap(prefix, true).entrySet()) {
+            if (!e.getKey().startsWith(prefix)) {
+                break;
+            }
+            if (e.getKey().compareTo(after) > 0) {
+                if (list.size() == limit) {
+                    more = true;
+                    break;
+                }
+                list.add(describe(e.getKey(), e.getValue()));
+            }
+        }
+        return new Reply(200, m.put("has_next", more));
+    }
+
+    private Reply txn(ObjectNode body) {
+        ObjectNode failed = Cbor.map().put("logbook", revision);
+        ArrayNode keys = failed.putArray("failed");
+        for (JsonNode c : body.path("if")) {
+            Item item = items.get(c.path("key").asText());
+            if ((item == null ? 0 : item.version) != c.path("entry").asLong()) {
+                keys.add(c.path("key").asText());
+            }
+        }
+        for (JsonNode a : body.path("apply")) {
+            if (a.path("tether").asLong() != 0 && !leases.containsKey(a.path("tether").asLong())) {
+                return new Reply(400, Cbor.map().put("error", "no such lease"));
+            }
+        }
+        if (!keys.isEmpty()) {
+            return new Reply(409, failed);
+        }
+        revision++;
+        for (JsonNode a : body.path("apply")) {
+            if (a.has("delete")) {
+                delete(a.path("delete").asText(), revision);
+            } else {
+                String key = a.path("put").asText();
+                items.put(key, new Item(a.path("value"), revision, a.path("tether").asLong()));
+                ObjectNode event = Cbor.map().put("put", key).put("entry", revision);
+                event.set("value", a.path("value"));
+                events.add(new Event(key, event, revision));
+            }
+        }
+        notifyAll();
+        return new Reply(200, Cbor.map().put("logbook", revision));
+    }
+
+    private Reply changes(String prefix, long after, long until) throws InterruptedException {
+        while (true) {
+            expire();
+            ObjectNode m = Cbor.map().put("logbook", revision);
+            ArrayNode list = m.putArray("events");
+            for (Event e : events) {
+                if (!down && e.revision > after && e.key.startsWith(prefix)) {
+                    list.add(e.event);
+                }
+            }
+            long left = until - nowMs();
+            if (!list.isEmpty() || left <= 0 || closed) {
+                return new Reply(200, m);
+            }
+            wait(Math.min(left, 50));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kelphoist/wire/CodecTest.java
@@ -0,0 +1,158 @@
+package io.kelphoist.wire;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.core.Command;
+import io.kelphoist.core.ExitReason;
+import io.kelphoist.core.JobKind;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.MachineReport;
+import io.kelphoist.core.TaskPhase;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.Records;
+import java.nio.charset.StandardCharsets;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What comes over the wire, well-meant and hostile. */
+class CodecTest {
+    private static final String JOB = """
+            {"name_id":"job-000412","catch":"train","crew":"vision","rig":"ensemble","tide":"high","fronds":16,
+             "cpus":8.0,"accelerators":1.0,"ram_gb":64.0,"spore":"img-07","image_gb":6.2,
+             "hulls":["g8"],"bed":null,"same_place":true,"scatter":false,"driftwood":true,
+             "haul_s":240.0,"mooring_s":30.0,"stow_s":4.0,"landfall_s":900.0,"news":{"x":[1]}}""";
+    private static final String REPORT = """
+            {"buoy":"vm-000231","address":"10.1.0.232:9000","hull":"g8","bed":"a","driftwood":true,
+             "watch":1,"knot":88,"helm":41,"ebb_s":null,
+             "fronds":[{"frond":"job-000412/3","cast":2,"sway":"running"},
+                       {"frond":"job-000398/0","cast":1,"sway":"exited","wreck":"stopped","stored":true}]}""";
+
+    private static ObjectNode cbor(String json) throws BadMessage {
+        return Cbor.decode(Cbor.encode(Cbor.decodeJson(json.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    @Test
+    void readsJob() throws BadMessage {
+        JobSpec job = Codec.job(cbor(JOB));
+        assertEquals(JobKind.GANG, job.kind());
+        assertEquals(16, job.tasks());
+        assertEquals(900.0, job.deadlineS());
+        assertNull(job.zone());
+        assertTrue(job.spotAllowed());
+        assertEquals(job, Codec.job(Codec.job(job)));
+    }
+
+    @Test
+    void takesIntegersForAmountsAndMissingForNull() throws BadMessage {
+        ObjectNode m = cbor(JOB);
+        m.put("cpus", 8).remove(List.of("bed", "hulls", "landfall_s"));
+        JobSpec job = Codec.job(m);
+        assertEquals(8.0, job.perTask().cpus());
+        assertNull(job.types());
+        assertNull(job.deadlineS());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "\"name_id\":\"task-1\"", "\"name_id\":\"job-\"", "\"name_id\":\"job-1/2\"", "\"name_id\":7", "\"name_id\":null",
+        "\"rig\":\"array\"", "\"tide\":\"production\"", "\"fronds\":0", "\"fronds\":100001", "\"fronds\":2.5", "\"fronds\":-1",
+        "\"fronds\":18446744073709551616", "\"cpus\":-0.1", "\"cpus\":\"8\"", "\"cpus\":null", "\"ram_gb\":true",
+        "\"hulls\":\"g8\"", "\"hulls\":[1]", "\"bed\":4", "\"same_place\":\"yes\"", "\"same_place\":null", "\"spore\":[]",
+        "\"landfall_s\":-5", "\"landfall_s\":\"soon\""})
+    void refusesBadFields(String field) throws BadMessage {
+        ObjectNode m = cbor(JOB);
+        ObjectNode bad = cbor("{" + field + "}");
+        m.setAll(bad);
+        assertThrows(BadMessage.class, () -> Codec.job(m));
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {Double.NaN, Double.POSITIVE_INFINITY, Double.NEGATIVE_INFINITY, -1})
+    void refusesAmountsThatAreNone(double amount) throws BadMessage {
+        ObjectNode m = cbor(JOB);
+        m.put("accelerators", amount);
+        byte[] sent = Cbor.encode(m);
+        assertThrows(BadMessage.class, () -> Codec.job(Cbor.decode(sent)));
+    }
+
+    @Test
+    void refusesWhatIsNoMap() {
+        for (byte[] body : new byte[][] {{}, {(byte) 0x80}, {0x01}, {(byte) 0xff}, {(byte) 0xa1}, "{}".getBytes(StandardCharsets.UTF_8)}) {
+            assertThrows(BadMessage.class, () -> Cbor.decode(body));
+        }
+    }
+
+    @Test
+    void refusesDeepNesting() {
+        byte[] deep = new byte[50_000];
+        java.util.Arrays.fill(deep, (byte) 0x81);
+        assertThrows(BadMessage.class, () -> Cbor.decode(deep));
+    }
+
+    /** Broken bytes end in BadMessage or in a message, never in anything else. */
+    @Test
+    void survivesBrokenBytes() throws BadMessage {
+        byte[] good = Cbor.encode(cbor(REPORT));
+        Random random = new Random(7);
+        int refused = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bad = good.clone();
+            for (int n = random.nextInt(4); n >= 0; n--) {
+                bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+            }
+            try {
+                Codec.report(Cbor.decode(bad));
+            } catch (BadMessage e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > 5_000, "refused " + refused);
+    }
+
+    @Test
+    void readsReport() throws BadMessage {
+        MachineReport r = Codec.report(cbor(REPORT));
+        assertEquals(88, r.seq());
+        assertNull(r.noticeS());
+        assertEquals(TaskPhase.RUNNING, r.tasks().get(0).phase());
+        assertEquals(ExitReason.STOPPED, r.tasks().get(1).exit());
+        assertTrue(r.tasks().get(1).saved());
+        assertTrue(r.newerThan(1, 87));
+        assertTrue(!r.newerThan(2, 1));
+    }
+
+    @Test
+    void writesCommands() throws BadMessage {
+        ObjectNode answer = Codec.answer(41, List.of(new Command.Start("job-1", 4, 2), new Command.Stop("job-2", 1, 1, 10),
+                new Command.Forget("job-3", 0, 1)));
+        ObjectNode expected = cbor("""
+                {"helm":41,"calls":[{"call":"start","frond":"job-1/4","cast":2},{"call":"halt","frond":"job-2/1","cast":1,"slack_s":10.0},
+                 {"call":"clear","frond":"job-3/0","cast":1}]}""");
+        assertArrayEquals(Cbor.encodeJson(expected), Cbor.encodeJson(answer));
+    }
+
+    @Test
+    void recordsComeBackAsStored() throws BadMessage {
+        JobSpec spec = Codec.job(cbor(JOB));
+        JobRecord active = Records.job(Keys.job(spec.id()), Records.job(spec, 5), 9);
+        assertEquals(new JobRecord(spec.id(), spec, JobStatus.ACTIVE, 5, 9), active);
+        assertEquals(JobStatus.CANCELLED, Records.job(Keys.job(spec.id()), Records.cancelled(active), 10).status());
+        assertEquals(JobStatus.DONE, Records.job(Keys.job(spec.id()), Records.done(), 11).status());
+        BitSet done = new BitSet();
+        done.set(Records.PIECE - 1, Records.PIECE + 3);
+        BitSet back = Records.progress(Records.progress(done, 0), 0);
+        back.or(Records.progress(Records.progress(done, 1), 1));
+        assertEquals(done, back);
+    }
+}
