--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -10,9 +10,11 @@
 /** The operators' own settings: protobuf text format, all optional. */
 public record OperatorSettings(int leaderLeaseMs, int grantMs, double offerS, double localityWaitS, double machineHoldS,
                                double gangHoldS, double headroom, double idleS) {
-    /** Of a machine's record, besides its tasks, and for each of these: one value at the state service holds it. */
-    private static final int RECORD_BYTES = 1536;
-    private static final int TASK_BYTES = 40;
+    /** Kept free in each value at the state service. */
+    private static final int SPARE_BYTES = 128;
+    /** Shares of the state service's limit of changes: for starts, which wait for them, and for done tasks. */
+    private static final double STARTS_SHARE = 1 / 3.0;
+    private static final double PROGRESS_SHARE = 1 / 15.0;
     public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40);
 
     /** Unknown fields are ignored; wrong ones are named. */
@@ -44,6 +46,7 @@
     public Policy policy(Settings s) {
         return new Policy(s.zones(), s.teams(), s.workers().reportS(), s.workers().leaseS(), s.workers().gangPeerS(),
                 offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
-                (int) Math.max(1, (s.stateLimits().valueKb() * 1024 - RECORD_BYTES) / TASK_BYTES), s.startWithinS());
+                (int) Math.max(SPARE_BYTES, s.stateLimits().valueKb() * 1024 - SPARE_BYTES), 1 / (STARTS_SHARE * s.stateLimits().writeRps()),
+                1 / (PROGRESS_SHARE * s.stateLimits().writeRps()), s.startWithinS());
     }
 }
--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -81,7 +81,7 @@
                     least = share;
                 }
             }
-            if (accept(new Offer(team, machines, cluster.policy.mostTasksPerMachine(), now), waiting.get(team), left)) {
+            if (accept(new Offer(team, machines, now), waiting.get(team), left)) {
                 starts++;
             } else {
                 open.remove(team);
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -47,10 +47,13 @@
     final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
     /** Machines that were confirmed gone. Names are never used twice, late messages of them mean nothing. */
     private final Object2ObjectOpenHashMap<String, Boolean> gone = new Object2ObjectOpenHashMap<>();
-    private final List<String> staleRecords = new ArrayList<>();
+    private final StartRecords starts;
+    private final ProgressRecords progress;
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
+    /** An earlier term left starts on record. */
+    private boolean foundStarts;
     private boolean recovered;
     private boolean loading = true;
     private boolean deposed;
@@ -63,6 +66,8 @@
         policy.zones().forEach(zones::of);
         policy.teams().forEach(t -> teams.put(t.name(), new TeamState(t)));
         setTypes(types);
+        starts = new StartRecords(policy, zones, effects);
+        progress = new ProgressRecords(policy, effects);
         allocator = new Allocator(this);
         fleet = new Fleet(this);
     }
@@ -148,35 +153,33 @@
     }
 
     private void settleFinal(Job job) {
+        progress.ended(job);
         if (job.at.isEmpty()) {
             jobs.remove(job.spec.id());
         }
     }
 
-    /** Done tasks as an earlier term stored them. */
-    public void onProgressLoaded(String id, BitSet done) {
-        Job job = jobs.get(id);
+    /** Done tasks as an earlier term stored them, after the jobs. */
+    public void onProgressLoaded(int page, TaskProgress stored) {
+        Job job = jobs.get(stored.job());
         if (job != null) {
-            job.done.or(done);
-            job.pending.andNot(done);
-            job.storedDone = job.doneCount();
+            stored.done().stream().forEach(task -> job.done.set(stored.first() + task));
+            job.pending.andNot(job.done);
+            job.storedDone.or(job.done);
+            progress.restore(page, job, stored.first());
         }
     }
 
-    public void onProgressStored(String id, int count) {
-        Job job = jobs.get(id);
-        if (job != null) {
-            job.storing = false;
-            job.storedDone = Math.max(job.storedDone, count);
-        }
+    /** The outcome of {@link Effects#storeProgress}. */
+    public void onProgressStored(int page, boolean stored) {
+        progress.stored(page, stored);
     }
 
-    /** The write did not happen or is unsure; it is made again. */
-    public void onStoreFailed(String id) {
+    /** The outcome of {@link Effects#storeDone}, unless it is stored: it is unsure, and written again. */
+    public void onDoneNotStored(String id) {
         Job job = jobs.get(id);
         if (job != null) {
             job.storing = false;
-            job.progressDirty = true;
         }
     }
 
@@ -192,64 +195,33 @@
     // ---- machines ----
 
     /**
-     * A machine as an earlier term recorded it, after the jobs. Until it reports, or its lease has surely ended, the
-     * tasks on record are presumed to be there: nothing else can be, as no start is sent before it is on record.
+     * What may be on a machine as an earlier term recorded it, after the jobs. Until the machine reports, or its lease
+     * has surely ended, the task is presumed to be there: nothing else can be, as no start is sent before it is on record.
      */
-    public void onMachineLoaded(String name, String address, String type, String zone, boolean spot, MachineContents contents, double now) {
-        MachineType t = types.get(type);
-        if (t == null || machines.containsKey(name)) {
+    public void onStartLoaded(int page, StartedTask start, double now) {
+        MachineType t = types.get(start.type());
+        Job job = jobs.get(start.task().job());
+        if (t == null || job == null || start.task().task() >= job.spec.tasks() || job.done.get(start.task().task())) {
             return;
         }
-        Machine m = new Machine(name, address, t, zones.of(zone), spot, Machine.State.JOINING, now);
-        m.hasRecord = true;
-        machines.put(name, m);
-        for (MachineContents.Image i : contents.images()) {
-            m.usedImage(image(i.name(), i.gb()), i.gb(), this::gbOf);
-        }
-        for (TaskRef task : contents.tasks()) {
-            Job job = jobs.get(task.job());
-            if (job != null && task.task() < job.spec.tasks() && !job.done.get(task.task())) {
-                Placement p = new Placement(job, task.task(), Placement.PRESUMED, m, 0, now);
-                m.placements.add(p);
-                count(p);
-            }
-        }
-    }
-
-    /** The outcome of {@link Effects#dropMachine}. */
-    public void onMachineDropped(String name, boolean dropped) {
-        Machine m = machines.get(name);
-        if (m != null) {
-            m.dropping = false;
-            m.hasRecord &= !dropped;
-        } else if (!dropped) {
-            staleRecords.add(name);
+        Machine m = machines.get(start.machine());
+        if (m == null) {
+            m = new Machine(start.machine(), null, t, zones.of(start.zone()), start.spot(), Machine.State.JOINING, now);
+            machines.put(m.name, m);
         }
-    }
-
-    /**
-     * Records of machines that are gone, or on which surely nothing runs: the next term would wait for them in vain.
-     * Tried until it is done, as the state service may be down.
-     */
-    private void dropRecords() {
-        for (Machine m : machines.values()) {
-            if (m.state() == Machine.State.LOST && m.hasRecord && !m.dropping && m.recording.isEmpty()) {
-                m.dropping = true;
-                effects.dropMachine(m.name);
-            }
+        if (presumedOn(m, job, start.task().task()) != null) {
+            return;
         }
-        List<String> names = List.copyOf(staleRecords);
-        staleRecords.clear();
-        names.forEach(effects::dropMachine);
+        Placement p = new Placement(job, start.task().task(), Placement.PRESUMED, m, 0, now);
+        m.placements.add(p);
+        starts.restore(page, p);
+        count(p);
+        foundStarts = true;
     }
 
-    /** The outcome of {@link Effects#storeMachine}. */
-    public void onMachineStored(String name, boolean stored) {
-        Machine m = machines.get(name);
-        if (m != null) {
-            m.recording.forEach(p -> p.recorded |= stored);
-            m.recording = List.of();
-        }
+    /** The outcome of {@link Effects#storeStarts}. */
+    public void onStartsStored(int page, boolean stored) {
+        starts.stored(page, stored);
     }
 
     /**
@@ -319,30 +291,6 @@
         return m;
     }
 
-    /**
-     * Puts on record what may be on the machine, before any start is sent. What an earlier record said and is proven
-     * gone is left out, so that a record never grows old.
-     */
-    private void record(Machine m) {
-        if (!m.recording.isEmpty() || m.dropping) {
-            return;
-        }
-        List<Placement> all = new ArrayList<>();
-        boolean news = false;
-        for (Placement p : m.placements) {
-            if (p.state() != Placement.State.EXITED || p.dangling || p.inFlight) {
-                all.add(p);
-                news |= !p.recorded;
-            }
-        }
-        if (news) {
-            m.recording = all;
-            m.hasRecord = true;
-            effects.storeMachine(m, new MachineContents(all.stream().map(p -> new TaskRef(p.job.spec.id(), p.task)).toList(),
-                    m.images().intStream().mapToObj(i -> new MachineContents.Image(images.name(i), gbOf(i))).toList()));
-        }
-    }
-
     private Machine adopt(MachineReport report, double now) {
         MachineType t = types.get(report.type());
         if (gone.containsKey(report.machine()) || t == null) {
@@ -422,9 +370,9 @@
         }
         p.recorded = true;
         p.startSent = true;
-        Placement known = job.at.get(t.task());
-        if (known != null && known.presumed()) {
-            // Seen here, so it is not there: a task is never on two machines.
+        starts.adopt(p, presumedOn(m, job, t.task()));
+        // Seen here, so it is not where records that are old presume it: a task is never on two machines.
+        for (Placement known = job.at.get(t.task()); known != null && known.presumed(); known = job.at.get(t.task())) {
             vanish(known, now);
         }
         boolean welcome = job.active() && !job.done.get(t.task()) && !job.at.containsKey(t.task())
@@ -440,6 +388,15 @@
         return p;
     }
 
+    private static Placement presumedOn(Machine m, Job job, int task) {
+        for (Placement p : m.placements) {
+            if (p.presumed() && p.job == job && p.task == task) {
+                return p;
+            }
+        }
+        return null;
+    }
+
     /** Counts an attempt in: room, quota, zone. */
     private void count(Placement p) {
         p.counted = true;
@@ -449,6 +406,8 @@
         if (!p.job.at.containsKey(p.task)) {
             p.job.at.put(p.task, p);
             p.job.pending.clear(p.task);
+        } else {
+            p.job.elsewhere++;
         }
     }
 
@@ -461,10 +420,13 @@
         p.machine.used = p.machine.used.minus(job.spec.perTask());
         job.team.used = job.team.used.minus(job.spec.perTask());
         job.perZone[p.machine.zone]--;
-        if (job.at.get(p.task) == p) {
+        if (job.at.get(p.task) != p) {
+            job.elsewhere--;
+        } else {
             job.at.remove(p.task);
-            Placement other = another(job, p.task);
+            Placement other = job.elsewhere == 0 ? null : another(job, p.task);
             if (other != null) {
+                job.elsewhere--;
                 job.at.put(p.task, other);
             } else if (job.active() && !job.done.get(p.task)) {
                 if (job.pending.isEmpty()) {
@@ -507,6 +469,7 @@
         }
         p.to(Placement.State.GONE, p.exit(), now);
         p.machine.placements.remove(p);
+        starts.ended(p);
         if (p.machine.placements.isEmpty()) {
             p.machine.idleSince = now;
         }
@@ -550,7 +513,9 @@
             }
             job.done.set(p.task);
             job.pending.clear(p.task);
-            job.progressDirty = true;
+            if (job.doneCount() < job.spec.tasks()) {
+                progress.changed(job, p.task);
+            }
         }
         uncount(p, now);
         switch (t.exit()) {
@@ -610,7 +575,7 @@
         return switch (job.state()) {
             case DONE, CANCELLED -> true;
             case FINISHING -> false;
-            case ACTIVE -> !job.progressDirty && !job.storing;
+            case ACTIVE -> job.storedDone.get(p.task);
         };
     }
 
@@ -655,6 +620,7 @@
         Placement p = new Placement(job, task, attempt, m, m.session, now);
         m.placements.add(p);
         count(p);
+        starts.add(p);
         if (m.heldFor == job) {
             // It served its purpose; for the next task another machine may be nearer to fitting, or the only one allowed.
             m.heldFor = null;
@@ -774,9 +740,7 @@
             for (Placement p : new ArrayList<>(m.placements)) {
                 vanish(p, now);
             }
-            if (m.hasRecord) {
-                staleRecords.add(name);
-            }
+            starts.nothingOn(m);
         }
     }
 
@@ -802,8 +766,8 @@
             allocator.run(now);
             fleet.run(allocator.unplaced(), now);
         }
-        dropRecords();
-        machines.values().forEach(this::record);
+        progress.run(now);
+        starts.run(now);
         flush(now);
     }
 
@@ -812,15 +776,10 @@
      * waited for any longer: what is on its record counts as running there until its lease has surely ended.
      */
     private boolean recover(double now) {
-        int silent = 0;
-        for (Machine m : machines.values()) {
-            if (m.hasRecord && m.state() == Machine.State.JOINING) {
-                silent++;
-            }
-        }
-        if (silent > 0 && now < startedAt + REPORT_ROUND * policy.reportS()) {
+        if (foundStarts && now < startedAt + REPORT_ROUND * policy.reportS()) {
             return false;
         }
+        long silent = machines.values().stream().filter(m -> m.state() == Machine.State.JOINING).count();
         LOG.info("term {}: take-over complete after {} s, {} machines ({} silent), {} jobs", term,
                 round(now - startedAt), machines.size(), silent, jobs.size());
         return true;
@@ -845,6 +804,7 @@
             vanish(p, now);
         }
         m.to(Machine.State.LOST, now);
+        starts.nothingOn(m);
     }
 
     /** Stops what can save before the cloud takes the machine, as late as is safe. */
@@ -884,17 +844,9 @@
     }
 
     private void store(Job job) {
-        if (job.storing) {
-            return;
-        }
-        if (job.state() == Job.State.FINISHING) {
-            job.storing = true;
-            job.progressDirty = false;
-            effects.storeDone(job.spec.id(), job.version, job.spec.tasks());
-        } else if (job.active() && job.progressDirty) {
+        if (job.state() == Job.State.FINISHING && !job.storing) {
             job.storing = true;
-            job.progressDirty = false;
-            effects.storeProgress(job.spec.id(), (BitSet) job.done.clone(), job.spec.tasks());
+            effects.storeDone(job.spec.id(), job.version);
         }
     }
 }
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -1,6 +1,5 @@
 package io.kelphoist.core;
 
-import java.util.BitSet;
 import java.util.List;
 
 /** What the core asks of the world around it. Outcomes come back as input events. */
@@ -8,17 +7,14 @@
     /** Sends commands straight to a worker; outcome: {@link Cluster#onOrders}. */
     void orders(Machine machine, long session, List<Command> commands);
 
-    /** Stores which tasks of a job are done; outcome: {@link Cluster#onProgressStored}. */
-    void storeProgress(String job, BitSet done, int tasks);
+    /** Stores a page of done tasks; outcome: {@link Cluster#onProgressStored}. */
+    void storeProgress(int page, List<TaskProgress> progress);
 
-    /** Stores that a job is done; outcome: {@link Cluster#onJob}. */
-    void storeDone(String job, long version, int tasks);
+    /** Stores that a job is done; outcome: {@link Cluster#onJob}, or {@link Cluster#onDoneNotStored}. */
+    void storeDone(String job, long version);
 
-    /** Stores what may be on a machine; outcome: {@link Cluster#onMachineStored}. */
-    void storeMachine(Machine machine, MachineContents contents);
-
-    /** Drops a machine's record; outcome: {@link Cluster#onMachineDropped}. */
-    void dropMachine(String machine);
+    /** Stores a page of what may be on machines; outcome: {@link Cluster#onStartsStored}. */
+    void storeStarts(int page, List<Placement> starts);
 
     /** Rents machines; outcome: {@link Cluster#onRented}. */
     void rent(Rental rental);
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -20,12 +20,14 @@
     private State state = State.ACTIVE;
     final BitSet done = new BitSet();
     final BitSet pending = new BitSet();
-    /** Tasks whose end is known but not stored yet. */
-    boolean progressDirty;
+    /** Done tasks that are on record. */
+    final BitSet storedDone = new BitSet();
+    /** Its end is being stored. */
     boolean storing;
-    int storedDone;
     /** Where each task is or may be; only attempts that occupy room. */
     final Int2ObjectOpenHashMap<Placement> at = new Int2ObjectOpenHashMap<>();
+    /** Further attempts at tasks that {@link #at} names another one of. */
+    int elsewhere;
     final int[] perZone;
     final boolean[] zoneAllowed;
     /** Attempt of a gang that is being started or runs; 0: none. */
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -34,12 +34,6 @@
     public final boolean spot;
     String address;
     private State state;
-    /** The state service has, or may have, a record of what may be on it. */
-    boolean hasRecord;
-    /** The record is being dropped; until that is settled no new one is written. */
-    boolean dropping;
-    /** What the record that is being written holds; empty: none is. */
-    List<Placement> recording = List.of();
     long session;
     long seq;
     /** Sessions up to this one are over, whatever late messages say. */
--- a/src/main/java/io/kelphoist/core/Offer.java
+++ b/src/main/java/io/kelphoist/core/Offer.java
@@ -7,9 +7,9 @@
  * room counts as held, since nothing else is offered meanwhile; schedulers in this process answer at once, so an
  * offer never lives to be rescinded except where a gang keeps accepted pieces, see {@link GangScheduler}.
  */
-record Offer(TeamState team, List<Machine> machines, int mostTasks, double now) {
+record Offer(TeamState team, List<Machine> machines, double now) {
     /** Machines of the offer on which one task of the job may start, constraints and room considered. */
     boolean allows(Job job, Machine m) {
-        return !m.heldForOther(job, now) && m.placements.size() < mostTasks && Placing.allowed(job, m) && job.spec.perTask().fitsIn(m.free());
+        return !m.heldForOther(job, now) && Placing.allowed(job, m) && job.spec.perTask().fitsIn(m.free());
     }
 }
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Pages.java
@@ -0,0 +1,198 @@
+package io.kelphoist.core;
+
+import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+
+/**
+ * Packs many small entries into few values at the state service, so that what changes at about the same time costs one
+ * change there and not one each. An entry stays on its page until it is removed; a page is written whole. What was
+ * removed since stays in the stored value until the page is written again, which new entries bring about, or
+ * {@link #untidy}.
+ */
+final class Pages<E> {
+    /** Sends a page off; the outcome comes back by {@link #written}. */
+    interface Writer<E> {
+        void write(int page, List<E> entries);
+    }
+
+    /** A page with less room than this share of it gets no new entries: it would be written for a few of them only. */
+    private static final double ROOMY = 0.25;
+    /** So many pages are under way at the same time. */
+    private static final int MOST_OPEN = 4;
+    /** Tidying up waits this many times as long between two pages as what is new. */
+    private static final int TIDY_SELDOM = 8;
+
+    private static final class Page<E> {
+        final int number;
+        final Set<E> entries = new LinkedHashSet<>();
+        int bytes;
+        boolean dirty;
+        boolean untidy;
+        /** What the write under way holds; null: none is. */
+        List<E> sent;
+        /** What the stored value holds, as far as is known. */
+        List<E> stored = List.of();
+
+        Page(int number) {
+            this.number = number;
+        }
+    }
+
+    private final int limit;
+    private final double everyS;
+    private final ToIntFunction<E> size;
+    private final List<Page<E>> pages = new ArrayList<>();
+    private final Reference2ObjectOpenHashMap<E, Page<E>> at = new Reference2ObjectOpenHashMap<>();
+    private Page<E> open;
+    private int underWay;
+    private double nextAt;
+    private double tidyAt;
+
+    /**
+     * @param limit bytes that a page may hold
+     * @param everyS seconds between two writes, each further page of a round counted
+     * @param size the most bytes that an entry takes
+     */
+    Pages(int limit, double everyS, ToIntFunction<E> size) {
+        this.limit = limit;
+        this.everyS = everyS;
+        this.size = size;
+    }
+
+    /** An entry as it was found stored. */
+    void restore(int number, E entry) {
+        Page<E> page = page(number);
+        page.stored = new ArrayList<>(page.stored);
+        page.stored.add(entry);
+        assign(entry, page);
+    }
+
+    private Page<E> page(int number) {
+        while (pages.size() <= number) {
+            pages.add(new Page<>(pages.size()));
+        }
+        return pages.get(number);
+    }
+
+    private void assign(E entry, Page<E> page) {
+        at.put(entry, page);
+        page.entries.add(entry);
+        page.bytes += size.applyAsInt(entry);
+    }
+
+    boolean contains(E entry) {
+        return at.containsKey(entry);
+    }
+
+    /** A new entry, or one that has changed: its page is to be written. */
+    void put(E entry) {
+        Page<E> page = at.get(entry);
+        if (page == null) {
+            page = roomFor(size.applyAsInt(entry));
+            assign(entry, page);
+        }
+        page.dirty = true;
+    }
+
+    /** New entries gather on one page until it is sent or full. */
+    private Page<E> roomFor(int bytes) {
+        if (open != null && open.sent == null && open.bytes + bytes <= limit) {
+            return open;
+        }
+        open = null;
+        for (Page<E> page : pages) {
+            if (page.sent == null && (open == null || page.bytes < open.bytes)) {
+                open = page;
+            }
+        }
+        if (open == null || open.bytes + Math.max(bytes, ROOMY * limit) > limit && !open.entries.isEmpty()) {
+            open = page(pages.size());
+        }
+        return open;
+    }
+
+    /** The entry {@code next} takes the place of another that means the same at the state service. */
+    void replace(E entry, E next) {
+        Page<E> page = at.get(entry);
+        remove(entry);
+        if (page != null) {
+            assign(next, page);
+        }
+    }
+
+    void remove(E entry) {
+        Page<E> page = at.remove(entry);
+        if (page != null) {
+            page.entries.remove(entry);
+            page.bytes -= size.applyAsInt(entry);
+        }
+    }
+
+    /** Stored entries of this kind mislead the next leader: their pages are written again in time. */
+    void untidy(Predicate<E> misleading) {
+        for (Page<E> page : pages) {
+            if (!page.untidy && (page.stored.stream().anyMatch(misleading)
+                    || page.sent != null && page.sent.stream().anyMatch(misleading))) {
+                page.untidy = true;
+            }
+        }
+    }
+
+    /** Sends what is due. */
+    void run(double now, Predicate<E> counts, Writer<E> writer) {
+        if (now < nextAt) {
+            return;
+        }
+        int sent = 0;
+        for (int i = 0; i < pages.size() && underWay < MOST_OPEN; i++) {
+            if (pages.get(i).dirty && pages.get(i).sent == null) {
+                send(pages.get(i), counts, writer);
+                sent++;
+            }
+        }
+        if (sent == 0 && underWay == 0 && now >= tidyAt) {
+            for (Page<E> page : pages) {
+                if (page.untidy) {
+                    tidyAt = now + everyS * TIDY_SELDOM;
+                    send(page, counts, writer);
+                    sent++;
+                    break;
+                }
+            }
+        }
+        if (sent > 0) {
+            nextAt = now + everyS * sent;
+        }
+    }
+
+    private void send(Page<E> page, Predicate<E> counts, Writer<E> writer) {
+        page.dirty = false;
+        page.untidy = false;
+        page.sent = page.entries.stream().filter(counts).toList();
+        underWay++;
+        writer.write(page.number, page.sent);
+    }
+
+    /** The outcome of a write; returns what it held. A page that was not surely stored is written again. */
+    Collection<E> written(int number, boolean stored) {
+        Page<E> page = number < pages.size() ? pages.get(number) : null;
+        if (page == null || page.sent == null) {
+            return List.of();
+        }
+        List<E> sent = page.sent;
+        page.sent = null;
+        underWay--;
+        if (stored) {
+            page.stored = sent;
+        } else {
+            page.dirty = true;
+        }
+        return sent;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/TaskProgress.java
@@ -0,0 +1,6 @@
+package io.kelphoist.core;
+
+import java.util.BitSet;
+
+/** Done tasks of a job, counted from task {@code first}. */
+public record TaskProgress(String job, int first, BitSet done) { }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -11,10 +11,11 @@
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Job;
 import io.kelphoist.core.Machine;
-import io.kelphoist.core.MachineContents;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
+import io.kelphoist.core.Placement;
 import io.kelphoist.core.Rental;
+import io.kelphoist.core.TaskProgress;
 import io.kelphoist.peer.PeerCalls;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
@@ -28,7 +29,6 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -511,24 +511,18 @@
     }
 
     @Override
-    public void storeProgress(String job, BitSet done, int tasks) {
-        ifStored(s -> s.progress(job, done, tasks));
+    public void storeProgress(int page, List<TaskProgress> progress) {
+        ifStored(s -> s.progress(page, progress));
     }
 
     @Override
-    public void storeDone(String job, long version, int tasks) {
-        ifStored(s -> s.done(job, version, tasks));
+    public void storeDone(String job, long version) {
+        ifStored(s -> s.done(job, version));
     }
 
     @Override
-    public void storeMachine(Machine machine, MachineContents contents) {
-        String zone = cluster.zoneName(machine.zone);
-        ifStored(s -> s.machine(machine, zone, contents));
-    }
-
-    @Override
-    public void dropMachine(String machine) {
-        ifStored(s -> s.dropMachine(machine));
+    public void storeStarts(int page, List<Placement> starts) {
+        ifStored(s -> s.starts(page, starts));
     }
 
     @Override
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -1,15 +1,13 @@
 package io.kelphoist.daemon;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
-import io.kelphoist.core.Machine;
-import io.kelphoist.core.MachineContents;
 import io.kelphoist.core.MachineType;
-import io.kelphoist.core.TaskRef;
+import io.kelphoist.core.Placement;
+import io.kelphoist.core.TaskProgress;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
@@ -18,7 +16,6 @@
 import io.kelphoist.wire.Cbor;
 import io.kelphoist.wire.Codec;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,8 +29,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Store.class);
     private static final double PATIENCE_S = 20;
     private static final int HOLD_MS = 8000;
-    /** Images on a machine's record: a hint, so the latest are enough. */
-    private static final int MOST_IMAGES = 20;
+    /** Of a key and its conditions in a transaction. */
+    private static final int KEY_BYTES = 200;
 
     private final StateClient state;
     private final Committer committer;
@@ -64,15 +61,17 @@
 
     // ---- reading ----
 
-    /** Reads machines, jobs and progress; a part that can't be read is read again. */
+    /** Reads jobs, progress and starts; a part that can't be read is read again. */
     void load(Cluster into, Runnable loaded) {
         cluster = into;
         range(Keys.JOBS, jobs -> {
             jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
             range(Keys.PROGRESS, progress -> {
-                progress.items().forEach(this::progress);
-                range(Keys.MACHINES, machines -> {
-                    machines.items().forEach(this::machine);
+                progress.items().forEach(i -> page(i, Keys.PROGRESS,
+                        (page, value) -> Records.progress(value).forEach(p -> into.onProgressLoaded(page, p))));
+                range(Keys.STARTS, starts -> {
+                    starts.items().forEach(i -> page(i, Keys.STARTS,
+                            (page, value) -> Records.starts(value).forEach(start -> into.onStartLoaded(page, start, loop.now()))));
                     into.onLoaded();
                     loaded.run();
                     watchJobs(jobs.revision());
@@ -81,24 +80,19 @@
         });
     }
 
-    private void machine(JsonNode item) {
+    /** Reads a page; one that can't be understood is named and means nothing. */
+    private interface Reader {
+        void read(int page, JsonNode value) throws BadMessage;
+    }
+
+    private void page(JsonNode item, String prefix, Reader reader) {
         String key = item.path("key").asText();
-        JsonNode v = item.path("value");
-        List<TaskRef> tasks = new ArrayList<>();
-        for (JsonNode t : v.path("tasks")) {
-            String name = t.asText();
-            int slash = name.lastIndexOf('/');
-            try {
-                tasks.add(new TaskRef(name.substring(0, slash), Integer.parseInt(name.substring(slash + 1))));
-            } catch (RuntimeException e) {
-                LOG.error("record {}: {} is not a task", key, name);
-            }
-        }
-        List<MachineContents.Image> images = new ArrayList<>();
-        v.path("images").fields().forEachRemaining(e -> images.add(new MachineContents.Image(e.getKey(), e.getValue().asDouble())));
         versions.put(key, item.path("entry").asLong());
-        cluster.onMachineLoaded(key.substring(Keys.MACHINES.length()), v.path("address").asText(), v.path("type").asText(),
-                v.path("zone").asText(), v.path("spot").asBoolean(), new MachineContents(tasks, images), loop.now());
+        try {
+            reader.read(Keys.page(prefix, key), item.path("value"));
+        } catch (BadMessage e) {
+            LOG.error("record {}: {}", key, e.getMessage());
+        }
     }
 
     private void range(String prefix, Consumer<StateClient.Range> then) {
@@ -126,18 +120,6 @@
         }
     }
 
-    private void progress(JsonNode item) {
-        String key = item.path("key").asText();
-        versions.put(key, item.path("entry").asLong());
-        int slash = key.lastIndexOf('/');
-        try {
-            int piece = Integer.parseInt(key.substring(slash + 1));
-            cluster.onProgressLoaded(key.substring(Keys.PROGRESS.length(), slash), Records.progress(item.path("value"), piece));
-        } catch (RuntimeException e) {
-            LOG.error("record {} can't be read", key);
-        }
-    }
-
     private void watchJobs(long after) {
         if (closed) {
             return;
@@ -191,15 +173,14 @@
     }
 
     /**
-     * Puts or deletes (null) a key that only leaders write. A transaction can be applied late, and must not bring an
-     * older value back: each write is conditional on the version that was last known, which is read again when in
-     * doubt.
+     * Puts a key that only leaders write. A transaction can be applied late, and must not bring an older value back:
+     * each write is conditional on the version that was last known, which is read again when in doubt.
      */
-    private void own(String key, ObjectNode value, int bytes, Consumer<Boolean> stored) {
-        write(List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)), bytes,
-                (outcome, revision) -> {
+    private void own(String key, ObjectNode value, Consumer<Boolean> stored) {
+        write(List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)),
+                Cbor.encodeJson(value).length + KEY_BYTES, (outcome, revision) -> {
                     if (outcome == Committer.Outcome.STORED) {
-                        versions.put(key, value == null ? 0 : revision);
+                        versions.put(key, revision);
                         stored.accept(true);
                     } else if (outcome == Committer.Outcome.REFUSED) {
                         stored.accept(false);
@@ -225,32 +206,20 @@
         });
     }
 
-    void progress(String job, BitSet done, int tasks) {
-        int pieces = (tasks + Records.PIECE - 1) / Records.PIECE;
-        int count = done.cardinality();
-        int[] left = {pieces};
-        boolean[] failed = {false};
-        for (int piece = 0; piece < pieces; piece++) {
-            own(Keys.progress(job, piece), Records.progress(done, piece), 1600, ok -> {
-                failed[0] |= !ok;
-                if (--left[0] == 0) {
-                    if (failed[0]) {
-                        cluster.onStoreFailed(job);
-                    } else {
-                        cluster.onProgressStored(job, count);
-                    }
-                }
-            });
-        }
+    void progress(int page, List<TaskProgress> progress) {
+        own(Keys.page(Keys.PROGRESS, page), Records.progress(progress), ok -> cluster.onProgressStored(page, ok));
     }
 
-    void done(String job, long version, int tasks) {
+    void starts(int page, List<Placement> starts) {
+        own(Keys.page(Keys.STARTS, page), Records.starts(starts, cluster::zoneName), ok -> cluster.onStartsStored(page, ok));
+    }
+
+    void done(String job, long version) {
         List<StateClient.Change> changes = new ArrayList<>();
         changes.add(new StateClient.Change(Keys.job(job), Records.done(), 0));
         write(List.of(new StateClient.Condition(Keys.job(job), version)), changes, 200, (outcome, revision) -> {
             if (outcome == Committer.Outcome.STORED) {
                 cluster.onJob(new JobRecord(job, null, JobStatus.DONE, 0, revision), 0, loop.now());
-                dropProgress(job, tasks);
                 return;
             }
             // Perhaps it was cancelled, or written already: what is stored decides.
@@ -261,39 +230,12 @@
                 if (result instanceof StateClient.Done d && d.status() == 200) {
                     job(Keys.job(job), d.body().path("value"), d.body().path("entry").asLong());
                 }
-                cluster.onStoreFailed(job);
+                cluster.onDoneNotStored(job);
                 checkTerm();
             });
         });
     }
 
-    private void dropProgress(String job, int tasks) {
-        for (int piece = 0; piece * Records.PIECE < tasks; piece++) {
-            String key = Keys.progress(job, piece);
-            if (versions.getOrDefault(key, 0L) != 0) {
-                own(key, null, 100, ok -> versions.remove(key));
-            }
-        }
-    }
-
-    void machine(Machine m, String zone, MachineContents contents) {
-        ObjectNode value = Cbor.map().put("address", m.address()).put("type", m.type.name()).put("zone", zone).put("spot", m.spot);
-        ArrayNode names = value.putArray("tasks");
-        contents.tasks().forEach(t -> names.add(t.job() + "/" + t.task()));
-        ObjectNode images = value.putObject("images");
-        contents.images().stream().skip(Math.max(0, contents.images().size() - MOST_IMAGES)).forEach(i -> images.put(i.name(), i.gb()));
-        own(Keys.machine(m.name), value, 250 + 30 * (contents.tasks().size() + contents.images().size()), ok -> cluster.onMachineStored(m.name, ok));
-    }
-
-    void dropMachine(String name) {
-        String key = Keys.machine(name);
-        if (versions.getOrDefault(key, 0L) == 0) {
-            cluster.onMachineDropped(name, true);
-        } else {
-            own(key, null, 100, ok -> cluster.onMachineDropped(name, ok));
-        }
-    }
-
     void types(List<MachineType> types) {
         write(List.of(), List.of(new StateClient.Change(Keys.TYPES, Codec.types(types), 0)), 1000, (outcome, revision) -> { });
     }
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -8,12 +8,13 @@
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
-import io.kelphoist.core.MachineContents;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
+import io.kelphoist.core.Placement;
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.Resources;
 import io.kelphoist.core.TaskPhase;
+import io.kelphoist.core.TaskProgress;
 import io.kelphoist.core.TaskReport;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
@@ -25,7 +26,6 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.BitSet;
 import java.util.List;
 
 /**
@@ -96,7 +96,7 @@
         MachineReport report = new MachineReport("vm-1", "127.0.0.1:1", "m", "z", false, 1, 1, 1, null, List.of());
         cluster.onReport(report, 2);
         cluster.tick(3);
-        cluster.onMachineStored("vm-1", true);
+        cluster.onStartsStored(0, true);
         cluster.tick(3);
         for (Command c : cluster.onReport(new MachineReport("vm-1", "127.0.0.1:1", "m", "z", false, 1, 2, 1, null, List.of()), 4)) {
             Cbor.encode(Codec.answer(1, List.of(c)));
@@ -113,16 +113,13 @@
         public void orders(Machine machine, long session, List<Command> commands) { }
 
         @Override
-        public void storeProgress(String job, BitSet done, int tasks) { }
+        public void storeProgress(int page, List<TaskProgress> progress) { }
 
         @Override
-        public void storeDone(String job, long version, int tasks) { }
+        public void storeDone(String job, long version) { }
 
         @Override
-        public void storeMachine(Machine machine, MachineContents contents) { }
-
-        @Override
-        public void dropMachine(String machine) { }
+        public void storeStarts(int page, List<Placement> starts) { }
 
         @Override
         public void rent(Rental rental) { }
--- a/src/main/java/io/kelphoist/state/Keys.java
+++ b/src/main/java/io/kelphoist/state/Keys.java
@@ -1,5 +1,7 @@
 package io.kelphoist.state;
 
+import io.kelphoist.wire.BadMessage;
+
 /** Keys at the state service. */
 public final class Keys {
     /** Below it: leadership. */
@@ -8,10 +10,10 @@
     public static final String LEADER = "k/leader";
     public static final String TYPES = "c/types";
     public static final String JOBS = "j/";
-    /** Done tasks of jobs that are not done. */
-    public static final String PROGRESS = "d/";
-    /** Machines that may run tasks. */
-    public static final String MACHINES = "m/";
+    /** Pages of done tasks of jobs that are not done. */
+    public static final String PROGRESS = "p/";
+    /** Pages of what may be on machines. */
+    public static final String STARTS = "s/";
 
     private Keys() { }
 
@@ -19,12 +21,16 @@
         return JOBS + id;
     }
 
-    /** Progress is kept in pieces, so that no value is too large. */
-    public static String progress(String id, int piece) {
-        return PROGRESS + id + "/" + piece;
+    /** Pages sort by their numbers. */
+    public static String page(String prefix, int number) {
+        return prefix + String.format("%06d", number);
     }
 
-    public static String machine(String name) {
-        return MACHINES + name;
+    public static int page(String prefix, String key) throws BadMessage {
+        try {
+            return Integer.parseUnsignedInt(key.substring(prefix.length()));
+        } catch (NumberFormatException e) {
+            throw new BadMessage("not a page");
+        }
     }
 }
--- a/src/main/java/io/kelphoist/state/Records.java
+++ b/src/main/java/io/kelphoist/state/Records.java
@@ -1,21 +1,27 @@
 package io.kelphoist.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobSpec;
 import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.Machine;
+import io.kelphoist.core.Placement;
+import io.kelphoist.core.StartedTask;
+import io.kelphoist.core.TaskProgress;
+import io.kelphoist.core.TaskRef;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
 import io.kelphoist.wire.Codec;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.List;
+import java.util.function.IntFunction;
 
 /** Records as they are stored. */
 public final class Records {
-    /** Tasks per piece of progress: a kilobyte of bits, within any value limit when written as text. */
-    public static final int PIECE = 8192;
-
     private Records() { }
 
     public static ObjectNode job(JobSpec spec, long acceptedAtMs) {
@@ -47,15 +53,61 @@
         return new JobRecord(key.substring(Keys.JOBS.length()), spec, status, value.path("at").asLong(), version);
     }
 
-    public static ObjectNode progress(BitSet done, int piece) {
-        BitSet bits = done.get(piece * PIECE, (piece + 1) * PIECE);
-        return Cbor.map().put("bits", Base64.getEncoder().encodeToString(bits.toByteArray()));
+    /** Jobs with the bits of their done tasks, in pieces. */
+    public static ObjectNode progress(List<TaskProgress> pieces) {
+        ObjectNode m = Cbor.map();
+        for (TaskProgress p : pieces) {
+            m.put(p.job() + "/" + p.first(), Base64.getEncoder().encodeToString(p.done().toByteArray()));
+        }
+        return m;
+    }
+
+    public static List<TaskProgress> progress(JsonNode value) throws BadMessage {
+        List<TaskProgress> all = new ArrayList<>();
+        for (var fields = value.fields(); fields.hasNext();) {
+            var e = fields.next();
+            TaskRef first = task(e.getKey());
+            try {
+                all.add(new TaskProgress(first.job(), first.task(), BitSet.valueOf(Base64.getDecoder().decode(e.getValue().asText()))));
+            } catch (IllegalArgumentException x) {
+                throw new BadMessage("progress of " + e.getKey() + " can't be read");
+            }
+        }
+        return all;
+    }
+
+    /** By machine: its type, its zone, whether it is spot, and the tasks that may be on it. */
+    public static ObjectNode starts(List<Placement> starts, IntFunction<String> zoneName) {
+        ObjectNode m = Cbor.map();
+        for (Placement p : starts) {
+            Machine on = p.machine();
+            JsonNode known = m.get(on.name);
+            ArrayNode entry = known instanceof ArrayNode a ? a
+                    : m.putArray(on.name).add(on.type.name()).add(zoneName.apply(on.zone)).add(on.spot);
+            entry.add(p.job().spec.id() + "/" + p.task());
+        }
+        return m;
+    }
+
+    public static List<StartedTask> starts(JsonNode value) throws BadMessage {
+        List<StartedTask> all = new ArrayList<>();
+        for (var fields = value.fields(); fields.hasNext();) {
+            var e = fields.next();
+            JsonNode entry = e.getValue();
+            for (int i = 3; i < entry.size(); i++) {
+                all.add(new StartedTask(e.getKey(), entry.path(0).asText(), entry.path(1).asText(), entry.path(2).asBoolean(),
+                        task(entry.path(i).asText())));
+            }
+        }
+        return all;
     }
 
-    public static BitSet progress(JsonNode value, int piece) {
-        BitSet bits = BitSet.valueOf(Base64.getDecoder().decode(value.path("bits").asText()));
-        BitSet done = new BitSet();
-        bits.stream().forEach(i -> done.set(piece * PIECE + i));
-        return done;
+    private static TaskRef task(String name) throws BadMessage {
+        int slash = name.lastIndexOf('/');
+        try {
+            return new TaskRef(name.substring(0, slash), Integer.parseUnsignedInt(name.substring(slash + 1)));
+        } catch (RuntimeException e) {
+            throw new BadMessage(name + " is not a task");
+        }
     }
 }
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -30,8 +30,8 @@
     private final Set<String> stored = new TreeSet<>();
     private final List<Rental> rentals = new ArrayList<>();
     private final Set<String> returned = new TreeSet<>();
-    private final Set<String> recorded = new TreeSet<>();
-    private boolean machineStoreWorks = true;
+    private final Map<Integer, List<Placement>> recorded = new TreeMap<>();
+    private boolean startsStoreWorks = true;
     private Election election;
     private final List<String> asked = new ArrayList<>();
     private final Map<String, Double> grantAskedAt = new HashMap<>();
@@ -58,15 +58,15 @@
             case "job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.ACTIVE, 0, ++version), number(with, "age", 0), now);
             case "cancel" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.CANCELLED, 0, ++version), 0, now);
             case "cancelled-job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.CANCELLED, 0, ++version), 0, now);
-            case "loaded" -> cluster.onMachineLoaded(w[1], w[1] + ":1", types.get(0).name(), with.getOrDefault("zone", zones.get(0)),
-                    with.containsKey("spot"), new MachineContents(tasks(with.get("tasks")), List.of()), now);
+            case "loaded" -> tasks(with.get("tasks")).forEach(task -> cluster.onStartLoaded((int) number(with, "page", 0),
+                    new StartedTask(w[1], types.get(0).name(), with.getOrDefault("zone", zones.get(0)), with.containsKey("spot"), task), now));
             case "all-loaded" -> cluster.onLoaded();
             case "progress" -> {
                 BitSet done = new BitSet();
                 for (int i = 2; i < w.length; i++) {
                     done.set(Integer.parseInt(w[i]));
                 }
-                cluster.onProgressLoaded(w[1], done);
+                cluster.onProgressLoaded(0, new TaskProgress(w[1], 0, done));
             }
             case "report" -> {
                 answer = cluster.onReport(report(w, with), now);
@@ -74,12 +74,17 @@
                 note(answer);
             }
             case "order" -> ordered(w, with);
-            case "machine-store" -> machineStoreWorks = w[1].equals("works");
-            case "machine-stored" -> cluster.onMachineStored(w[1], true);
+            case "starts-store" -> startsStoreWorks = w[1].equals("works");
+            case "starts-stored" -> cluster.onStartsStored(Integer.parseInt(w[1]), true);
+            case "starts-unsure" -> cluster.onStartsStored(Integer.parseInt(w[1]), false);
             case "stored" -> stored(w[1]);
             case "store-fails" -> {
-                stored.removeIf(s -> s.contains(w[1]));
-                cluster.onStoreFailed(w[1]);
+                if (stored.remove("done " + w[1])) {
+                    cluster.onDoneNotStored(w[1]);
+                } else {
+                    stored.removeIf(s -> s.contains(w[1]));
+                    cluster.onProgressStored(0, false);
+                }
             }
             case "rented" -> rented(w);
             case "gone" -> cluster.onReturned(List.of(w[1]), now);
@@ -93,7 +98,7 @@
     // ---- the cluster's side ----
 
     private void term(long term) {
-        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, 100, Map.of("relaxed", 15.0));
+        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, 2000, 0.01, 0.01, Map.of("relaxed", 15.0));
         cluster = new Cluster(policy, this, term, types, now);
         orders.clear();
         stored.clear();
@@ -182,12 +187,11 @@
     }
 
     private void stored(String id) {
-        Job job = cluster.jobs.get(id);
         if (stored.remove("done " + id)) {
             cluster.onJob(new JobRecord(id, null, JobStatus.DONE, 0, ++version), 0, now);
         } else {
             stored.removeIf(s -> s.startsWith("progress " + id));
-            cluster.onProgressStored(id, job.doneCount());
+            cluster.onProgressStored(0, true);
         }
     }
 
@@ -216,7 +220,8 @@
             case "stored" -> assertEquals(rest(w, 2), stored.isEmpty() ? "none" : String.join(" ", stored));
             case "rent" -> assertEquals(rest(w, 2), rentals.isEmpty() ? "none" : rentals.stream().map(Scenario::said).sorted().reduce((a, b) -> a + ", " + b).get());
             case "returned" -> assertEquals(rest(w, 2), returned.isEmpty() ? "none" : String.join(" ", returned));
-            case "recorded" -> assertEquals(rest(w, 2), recorded.isEmpty() ? "none" : String.join(" ", recorded));
+            case "recorded" -> assertEquals(rest(w, 2), onRecord());
+            case "pages" -> assertEquals(Integer.parseInt(w[2]), recorded.size());
             case "recovered" -> assertEquals(Boolean.valueOf(w[2]), cluster.recovered());
             case "deposed" -> assertEquals(Boolean.valueOf(w[2]), cluster.deposed());
             case "job" -> assertEquals(w[3], cluster.jobs.containsKey(w[2]) ? cluster.jobs.get(w[2]).state().name().toLowerCase() : "none");
@@ -267,30 +272,30 @@
     }
 
     @Override
-    public void storeProgress(String job, BitSet done, int tasks) {
-        stored.add("progress " + job + " " + done.cardinality());
+    public void storeProgress(int page, List<TaskProgress> progress) {
+        progress.forEach(p -> stored.add("progress " + p.job() + " " + p.done().cardinality()));
     }
 
     @Override
-    public void storeDone(String job, long jobVersion, int tasks) {
+    public void storeDone(String job, long jobVersion) {
         stored.add("done " + job);
     }
 
     @Override
-    public void storeMachine(Machine machine, MachineContents contents) {
-        recorded.removeIf(r -> r.startsWith(machine.name + ":"));
-        recorded.add(machine.name + ":" + contents.tasks().stream().map(t -> t.job() + "/" + t.task()).collect(Collectors.joining(",")));
-        if (machineStoreWorks) {
-            cluster.onMachineStored(machine.name, true);
+    public void storeStarts(int page, List<Placement> starts) {
+        recorded.put(page, starts);
+        if (startsStoreWorks) {
+            cluster.onStartsStored(page, true);
         }
     }
 
-    @Override
-    public void dropMachine(String machine) {
-        if (machineStoreWorks) {
-            recorded.removeIf(r -> r.startsWith(machine + ":"));
-        }
-        cluster.onMachineDropped(machine, machineStoreWorks);
+    /** By machine, what may be on it, all pages together. */
+    private String onRecord() {
+        Map<String, Set<String>> on = new TreeMap<>();
+        recorded.values().forEach(page -> page.forEach(p ->
+                on.computeIfAbsent(p.machine().name, m -> new TreeSet<>()).add(p.job().spec.id() + "/" + p.task())));
+        return on.isEmpty() ? "none" : on.entrySet().stream().map(e -> e.getKey() + ":" + String.join(",", e.getValue()))
+                .collect(Collectors.joining(" "));
     }
 
     @Override
--- a/src/test/java/io/kelphoist/daemon/EndToEndTest.java
+++ b/src/test/java/io/kelphoist/daemon/EndToEndTest.java
@@ -199,7 +199,7 @@
     /** A transaction without an answer may be applied minutes later: it must not bring an older record back. */
     @Test
     void lateTransactionChangesNothing() throws Exception {
-        state.holdNext("m/");
+        state.holdNext("s/");
         assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-97", "standing", 1)).statusCode());
         ledger.awaitRunning("job-97/0", true);
         assertEquals(409, state.applyHeld());
--- a/src/test/java/io/kelphoist/wire/CodecTest.java
+++ b/src/test/java/io/kelphoist/wire/CodecTest.java
@@ -15,6 +15,7 @@
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.TaskPhase;
+import io.kelphoist.core.TaskProgress;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
 import java.nio.charset.StandardCharsets;
@@ -150,9 +151,8 @@
         assertEquals(JobStatus.CANCELLED, Records.job(Keys.job(spec.id()), Records.cancelled(active), 10).status());
         assertEquals(JobStatus.DONE, Records.job(Keys.job(spec.id()), Records.done(), 11).status());
         BitSet done = new BitSet();
-        done.set(Records.PIECE - 1, Records.PIECE + 3);
-        BitSet back = Records.progress(Records.progress(done, 0), 0);
-        back.or(Records.progress(Records.progress(done, 1), 1));
-        assertEquals(done, back);
+        done.set(1, 5000);
+        TaskProgress progress = new TaskProgress(spec.id(), 8192, done);
+        assertEquals(List.of(progress), Records.progress(Records.progress(List.of(progress))));
     }
 }
