--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -375,8 +375,9 @@
         for (Placement known = job.at.get(t.task()); known != null && known.presumed(); known = job.at.get(t.task())) {
             vanish(known, now);
         }
+        // Of a gang, the first attempt that is seen decides: what records presume of the others may be part of it.
         boolean welcome = job.active() && !job.done.get(t.task()) && !job.at.containsKey(t.task())
-                && (job.spec.kind() != JobKind.GANG || job.at.isEmpty() || job.gangAttempt == t.attempt());
+                && (job.spec.kind() != JobKind.GANG || job.gangAttempt == 0 || job.gangAttempt == t.attempt());
         if (welcome && job.spec.kind() == JobKind.GANG) {
             job.gangAttempt = t.attempt();
         }
