--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -46,14 +46,17 @@
         return false;
     }
 
-    /** A gang that lost a task before it began goes on with a replacement of the same attempt. */
+    /**
+     * A gang that lost a task before it began goes on with a replacement of the same attempt; not while records only
+     * presume the others, as nobody knows their attempt yet.
+     */
     private boolean replace(Offer offer, Job job) {
         int task = job.pending.nextSetBit(0);
-        if (task < 0 || !job.team.withinLimit(job.spec.perTask())) {
+        if (task < 0 || job.gangAttempt == 0 || !job.team.withinLimit(job.spec.perTask())) {
             return false;
         }
         for (Placement p : job.at.values()) {
-            if (p.stopping()) {
+            if (p.stopping() || p.presumed()) {
                 return false;
             }
         }
