--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -49,6 +49,7 @@
     private final Object2ObjectOpenHashMap<String, Boolean> gone = new Object2ObjectOpenHashMap<>();
     private final StartRecords starts;
     private final ProgressRecords progress;
+    private final ImageRecords cached;
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
@@ -68,6 +69,7 @@
         setTypes(types);
         starts = new StartRecords(policy, zones, effects);
         progress = new ProgressRecords(policy, effects);
+        cached = new ImageRecords(policy, images, effects);
         allocator = new Allocator(this);
         fleet = new Fleet(this);
     }
@@ -194,6 +196,36 @@
 
     // ---- machines ----
 
+    /** A machine came to be known. */
+    void add(Machine m) {
+        machines.put(m.name, m);
+        recall(m);
+    }
+
+    private void recall(Machine m) {
+        for (MachineImages.Image i : cached.recall(m)) {
+            m.usedImage(image(i.name(), i.gb()), i.gb(), this::gbOf);
+        }
+    }
+
+    /** What an earlier term knew to be cached on a machine. */
+    public void onImagesLoaded(int page, MachineImages images) {
+        cached.found(page, images);
+        Machine m = machines.get(images.machine());
+        if (m != null) {
+            recall(m);
+        }
+    }
+
+    /** The outcome of {@link Effects#storeImages}. */
+    public void onImagesStored(int page, boolean stored) {
+        cached.stored(page, stored);
+    }
+
+    public MachineImages imagesOn(Machine m) {
+        return new MachineImages(m.name, m.images().intStream().mapToObj(i -> new MachineImages.Image(images.name(i), gbOf(i))).toList());
+    }
+
     /**
      * What may be on a machine as an earlier term recorded it, after the jobs. Until the machine reports, or its lease
      * has surely ended, the task is presumed to be there: nothing else can be, as no start is sent before it is on record.
@@ -207,7 +239,7 @@
         Machine m = machines.get(start.machine());
         if (m == null) {
             m = new Machine(start.machine(), null, t, zones.of(start.zone()), start.spot(), Machine.State.JOINING, now);
-            machines.put(m.name, m);
+            add(m);
         }
         if (presumedOn(m, job, start.task().task()) != null) {
             return;
@@ -298,7 +330,7 @@
         }
         Machine m = new Machine(report.machine(), report.address(), t, zones.of(report.zone()), report.spot(), Machine.State.JOINING, now);
         LOG.info("machine {} adopted from its report", m.name);
-        machines.put(m.name, m);
+        add(m);
         return m;
     }
 
@@ -490,7 +522,9 @@
             return;
         }
         if (next != Placement.State.FETCHING && next != Placement.State.EXITED || t.exit() == ExitReason.DONE) {
-            p.machine.usedImage(p.job.image, p.job.spec.imageGb(), this::gbOf);
+            if (p.machine.usedImage(p.job.image, p.job.spec.imageGb(), this::gbOf)) {
+                cached.changed(p.machine);
+            }
         }
         if (!ran && !Double.isNaN(p.runningSince)) {
             p.job.running++;
@@ -742,6 +776,7 @@
                 vanish(p, now);
             }
             starts.nothingOn(m);
+            cached.gone(m);
         }
     }
 
@@ -769,6 +804,7 @@
         }
         progress.run(now);
         starts.run(now);
+        cached.run(now);
         flush(now);
     }
 
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -16,6 +16,9 @@
     /** Stores a page of what may be on machines; outcome: {@link Cluster#onStartsStored}. */
     void storeStarts(int page, List<Placement> starts);
 
+    /** Stores a page of what machines should have cached, see {@link Cluster#imagesOn}; outcome: {@link Cluster#onImagesStored}. */
+    void storeImages(int page, List<Machine> machines);
+
     /** Rents machines; outcome: {@link Cluster#onRented}. */
     void rent(Rental rental);
 
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -253,7 +253,7 @@
         if (names != null) {
             for (String name : names) {
                 if (!cluster.machines.containsKey(name) && !cluster.knownGone(name)) {
-                    cluster.machines.put(name, new Machine(name, null, type, zone, rental.spot(), Machine.State.BOOTING, now));
+                    cluster.add(new Machine(name, null, type, zone, rental.spot(), Machine.State.BOOTING, now));
                 }
             }
         }
@@ -266,7 +266,7 @@
             if (m == null && type != null && !cluster.knownGone(c.name())) {
                 LOG.info("machine {} adopted from the list", c.name());
                 m = new Machine(c.name(), c.address(), type, cluster.zones.of(c.zone()), c.spot(), Machine.State.BOOTING, now - c.ageS());
-                cluster.machines.put(c.name(), m);
+                cluster.add(m);
             }
             if (m == null) {
                 continue;
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -117,8 +117,8 @@
         return images.contains(image);
     }
 
-    /** Notes that an image was used, and drops what the cache no longer holds. */
-    void usedImage(int image, double gb, ImageSizes sizes) {
+    /** Notes that an image was used, and drops what the cache no longer holds. True if it was not known to be there. */
+    boolean usedImage(int image, double gb, ImageSizes sizes) {
         int at = images.indexOf(image);
         if (at >= 0) {
             images.removeInt(at);
@@ -129,6 +129,7 @@
         while (imagesGb > type.cacheGb() && images.size() > 1) {
             imagesGb -= sizes.gb(images.removeInt(0));
         }
+        return at < 0;
     }
 
     IntArrayList images() {
--- a/src/main/java/io/kelphoist/core/Pages.java
+++ b/src/main/java/io/kelphoist/core/Pages.java
@@ -28,6 +28,9 @@
     /** Tidying up waits this many times as long between two pages as what is new. */
     private static final int TIDY_SELDOM = 8;
 
+    /** Where an entry is, and how much room it was given. */
+    private record Place<E>(Page<E> page, int bytes) { }
+
     private static final class Page<E> {
         final int number;
         final Set<E> entries = new LinkedHashSet<>();
@@ -48,9 +51,11 @@
     private final double everyS;
     private final ToIntFunction<E> size;
     private final List<Page<E>> pages = new ArrayList<>();
-    private final Reference2ObjectOpenHashMap<E, Page<E>> at = new Reference2ObjectOpenHashMap<>();
+    private final Reference2ObjectOpenHashMap<E, Place<E>> at = new Reference2ObjectOpenHashMap<>();
     private Page<E> open;
     private int underWay;
+    /** Pages take turns, so that none waits for ever where others change all the time. */
+    private int next;
     private double nextAt;
     private double tidyAt;
 
@@ -81,21 +86,31 @@
     }
 
     private void assign(E entry, Page<E> page) {
-        at.put(entry, page);
+        int bytes = size.applyAsInt(entry);
+        at.put(entry, new Place<>(page, bytes));
         page.entries.add(entry);
-        page.bytes += size.applyAsInt(entry);
+        page.bytes += bytes;
     }
 
     boolean contains(E entry) {
         return at.containsKey(entry);
     }
 
-    /** A new entry, or one that has changed: its page is to be written. */
+    /** A new entry, or one that has changed: its page is to be written. One that outgrew its page moves. */
     void put(E entry) {
-        Page<E> page = at.get(entry);
-        if (page == null) {
-            page = roomFor(size.applyAsInt(entry));
+        Place<E> place = at.get(entry);
+        int bytes = size.applyAsInt(entry);
+        Page<E> page = place == null ? null : place.page;
+        if (page == null || page.bytes - place.bytes + bytes > limit && page.entries.size() > 1) {
+            remove(entry);
+            if (page != null) {
+                page.dirty = true;
+            }
+            page = roomFor(bytes);
             assign(entry, page);
+        } else {
+            page.bytes += bytes - place.bytes;
+            at.put(entry, new Place<>(page, bytes));
         }
         page.dirty = true;
     }
@@ -119,18 +134,18 @@
 
     /** The entry {@code next} takes the place of another that means the same at the state service. */
     void replace(E entry, E next) {
-        Page<E> page = at.get(entry);
+        Place<E> place = at.get(entry);
         remove(entry);
-        if (page != null) {
-            assign(next, page);
+        if (place != null) {
+            assign(next, place.page);
         }
     }
 
     void remove(E entry) {
-        Page<E> page = at.remove(entry);
-        if (page != null) {
-            page.entries.remove(entry);
-            page.bytes -= size.applyAsInt(entry);
+        Place<E> place = at.remove(entry);
+        if (place != null) {
+            place.page.entries.remove(entry);
+            place.page.bytes -= place.bytes;
         }
     }
 
@@ -150,9 +165,12 @@
             return;
         }
         int sent = 0;
+        int from = next;
         for (int i = 0; i < pages.size() && underWay < MOST_OPEN; i++) {
-            if (pages.get(i).dirty && pages.get(i).sent == null) {
-                send(pages.get(i), counts, writer);
+            Page<E> page = pages.get((from + i) % pages.size());
+            if (page.dirty && page.sent == null) {
+                next = page.number + 1;
+                send(page, counts, writer);
                 sent++;
             }
         }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -525,6 +525,11 @@
         ifStored(s -> s.starts(page, starts));
     }
 
+    @Override
+    public void storeImages(int page, List<Machine> machines) {
+        ifStored(s -> s.images(page, machines));
+    }
+
     @Override
     public void rent(Rental rental) {
         Cluster asking = cluster;
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -5,6 +5,7 @@
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineType;
 import io.kelphoist.core.Placement;
 import io.kelphoist.core.TaskProgress;
@@ -72,6 +73,7 @@
                 range(Keys.STARTS, starts -> {
                     starts.items().forEach(i -> page(i, Keys.STARTS,
                             (page, value) -> Records.starts(value).forEach(start -> into.onStartLoaded(page, start, loop.now()))));
+                    hints(into);
                     into.onLoaded();
                     loaded.run();
                     watchJobs(jobs.revision());
@@ -80,6 +82,12 @@
         });
     }
 
+    /** Hints are not waited for: the first offers may go without. */
+    private void hints(Cluster into) {
+        range(Keys.IMAGES, images -> images.items().forEach(i -> page(i, Keys.IMAGES,
+                (page, value) -> Records.images(value).forEach(m -> into.onImagesLoaded(page, m)))));
+    }
+
     /** Reads a page; one that can't be understood is named and means nothing. */
     private interface Reader {
         void read(int page, JsonNode value) throws BadMessage;
@@ -214,6 +222,11 @@
         own(Keys.page(Keys.STARTS, page), Records.starts(starts, cluster::zoneName), ok -> cluster.onStartsStored(page, ok));
     }
 
+    void images(int page, List<Machine> machines) {
+        own(Keys.page(Keys.IMAGES, page), Records.images(machines.stream().map(cluster::imagesOn).toList()),
+                ok -> cluster.onImagesStored(page, ok));
+    }
+
     void done(String job, long version) {
         List<StateClient.Change> changes = new ArrayList<>();
         changes.add(new StateClient.Change(Keys.job(job), Records.done(), 0));
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -121,6 +121,9 @@
         @Override
         public void storeStarts(int page, List<Placement> starts) { }
 
+        @Override
+        public void storeImages(int page, List<Machine> machines) { }
+
         @Override
         public void rent(Rental rental) { }
 
--- a/src/main/java/io/kelphoist/state/Keys.java
+++ b/src/main/java/io/kelphoist/state/Keys.java
@@ -12,6 +12,8 @@
     public static final String JOBS = "j/";
     /** Pages of done tasks of jobs that are not done. */
     public static final String PROGRESS = "p/";
+    /** Pages of images that machines should have cached. */
+    public static final String IMAGES = "i/";
     /** Pages of what may be on machines. */
     public static final String STARTS = "s/";
 
--- a/src/main/java/io/kelphoist/state/Records.java
+++ b/src/main/java/io/kelphoist/state/Records.java
@@ -7,6 +7,7 @@
 import io.kelphoist.core.JobSpec;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
+import io.kelphoist.core.MachineImages;
 import io.kelphoist.core.Placement;
 import io.kelphoist.core.StartedTask;
 import io.kelphoist.core.TaskProgress;
@@ -102,6 +103,26 @@
         return all;
     }
 
+    /** By machine: the images it should have cached, with their sizes, least recently used first. */
+    public static ObjectNode images(List<MachineImages> machines) {
+        ObjectNode m = Cbor.map();
+        for (MachineImages machine : machines) {
+            ObjectNode images = m.putObject(machine.machine());
+            machine.images().forEach(i -> images.put(i.name(), i.gb()));
+        }
+        return m;
+    }
+
+    public static List<MachineImages> images(JsonNode value) {
+        List<MachineImages> all = new ArrayList<>();
+        value.fields().forEachRemaining(e -> {
+            List<MachineImages.Image> images = new ArrayList<>();
+            e.getValue().fields().forEachRemaining(i -> images.add(new MachineImages.Image(i.getKey(), i.getValue().asDouble())));
+            all.add(new MachineImages(e.getKey(), images));
+        });
+        return all;
+    }
+
     private static TaskRef task(String name) throws BadMessage {
         int slash = name.lastIndexOf('/');
         try {
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -31,6 +31,7 @@
     private final List<Rental> rentals = new ArrayList<>();
     private final Set<String> returned = new TreeSet<>();
     private final Map<Integer, List<Placement>> recorded = new TreeMap<>();
+    private final Map<String, String> cached = new TreeMap<>();
     private boolean startsStoreWorks = true;
     private Election election;
     private final List<String> asked = new ArrayList<>();
@@ -61,6 +62,8 @@
             case "loaded" -> tasks(with.get("tasks")).forEach(task -> cluster.onStartLoaded((int) number(with, "page", 0),
                     new StartedTask(w[1], types.get(0).name(), with.getOrDefault("zone", zones.get(0)), with.containsKey("spot"), task), now));
             case "all-loaded" -> cluster.onLoaded();
+            case "images-loaded" -> cluster.onImagesLoaded(0, new MachineImages(w[1],
+                    List.of(with.get("images").split(",")).stream().map(i -> new MachineImages.Image(i, 1)).toList()));
             case "progress" -> {
                 BitSet done = new BitSet();
                 for (int i = 2; i < w.length; i++) {
@@ -221,6 +224,7 @@
             case "rent" -> assertEquals(rest(w, 2), rentals.isEmpty() ? "none" : rentals.stream().map(Scenario::said).sorted().reduce((a, b) -> a + ", " + b).get());
             case "returned" -> assertEquals(rest(w, 2), returned.isEmpty() ? "none" : String.join(" ", returned));
             case "recorded" -> assertEquals(rest(w, 2), onRecord());
+            case "cached" -> assertEquals(w[3], cached.getOrDefault(w[2], "none"));
             case "pages" -> assertEquals(Integer.parseInt(w[2]), recorded.size());
             case "recovered" -> assertEquals(Boolean.valueOf(w[2]), cluster.recovered());
             case "deposed" -> assertEquals(Boolean.valueOf(w[2]), cluster.deposed());
@@ -289,6 +293,13 @@
         }
     }
 
+    @Override
+    public void storeImages(int page, List<Machine> machines) {
+        machines.forEach(m -> cached.put(m.name, cluster.imagesOn(m).images().stream().map(MachineImages.Image::name)
+                .collect(Collectors.joining(","))));
+        cluster.onImagesStored(page, true);
+    }
+
     /** By machine, what may be on it, all pages together. */
     private String onRecord() {
         Map<String, Set<String>> on = new TreeMap<>();
