A gang that fits nowhere gets room on all its machines at once

Now one plan names the machines of the whole gang, nothing is stopped for a plan that is not whole, and held machines rent no others.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -656,9 +656,9 @@
         m.placements.add(p);
         count(p);
         starts.add(p);
-        if (m.heldFor == job) {
+        if (m.heldFor() == job) {
             // It served its purpose; for the next task another machine may be nearer to fitting, or the only one allowed.
-            m.heldFor = null;
+            m.holdFor(null, 0);
         }
         LOG.debug("start {}/{} attempt {} on {}, waited {} s, fetch {} s, used {}", job.spec.id(), task, attempt, m.name,
                 round(now - job.waitingSince), round(Placing.fetchSeconds(job, m)), m.used);
@@ -787,8 +787,11 @@
         for (Machine m : new ArrayList<>(machines.values())) {
             expire(m, now);
             notice(m, now);
-            if (m.heldFor != null && (now >= m.heldUntil || !m.heldFor.active() || m.heldFor.pending.isEmpty())) {
-                m.heldFor = null;
+            if (m.holdOver(now)) {
+                if (m.heldFor().active() && !m.heldFor().pending.isEmpty()) {
+                    m.heldFor().machineFilterUntil = now + policy.offerS();
+                }
+                m.holdFor(null, 0);
             }
         }
         escalate(now);
--- a/src/main/java/io/kelphoist/core/Consolidation.java
+++ b/src/main/java/io/kelphoist/core/Consolidation.java
@@ -50,7 +50,7 @@
             }
             double used = m.used.dominantShare(m.type.capacity());
             free += 1 - used;
-            if (m.heldFor == null && m.held.equals(Resources.NONE) && !m.idle() && used < leastUsed) {
+            if (m.heldFor() == null && m.held.equals(Resources.NONE) && !m.idle() && used < leastUsed) {
                 least = m;
                 leastUsed = used;
             }
@@ -92,7 +92,7 @@
     private boolean place(Placement p, Map<Machine, Resources> room, double now) {
         for (Machine m : cluster.machines.values()) {
             Resources left = room.getOrDefault(m, m.free());
-            if (m != p.machine && m.takesWork(now) && !m.spot && !m.idle() && m.heldFor == null && m.caches(p.job.image)
+            if (m != p.machine && m.takesWork(now) && !m.spot && !m.idle() && m.heldFor() == null && m.caches(p.job.image)
                     && p.job.spec.perTask().fitsIn(left) && p.job.spec.allowsType(m.type.name()) && p.job.zoneAllowed[m.zone]
                     && zoneKept(p, m)) {
                 room.put(m, left.minus(p.job.spec.perTask()));
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -85,7 +85,7 @@
             if (booting || m.state() == Machine.State.JOINING) {
                 rooms.add(new Room(m.type, m.zone, m.spot, m.type.capacity(), true));
             } else if (m.state() == Machine.State.UP && m.takenAt == Double.POSITIVE_INFINITY) {
-                rooms.add(new Room(m.type, m.zone, m.spot, m.heldFor != null ? Resources.NONE : m.free(), m.idle() && m.heldFor == null));
+                rooms.add(new Room(m.type, m.zone, m.spot, m.heldFor() != null ? Resources.NONE : m.free(), m.idle() && m.heldFor() == null));
             }
         }
         for (Rental r : open.keySet()) {
@@ -98,7 +98,7 @@
     }
 
     private void demand(Job job, List<Room> rooms, Map<Kind, Integer> wanted, double now) {
-        int tasks = job.pending.cardinality();
+        int tasks = job.pending.cardinality() - covered(job);
         TeamState team = job.team;
         int allowed = 0;
         while (allowed < tasks && allowed < 200 && team.withinLimit(job.spec.perTask().times(allowed + 1))) {
@@ -136,6 +136,18 @@
         }
     }
 
+    /** Tasks for which machines are held: they need no other. */
+    private static int covered(Job job) {
+        int tasks = 0;
+        for (Machine m : job.heldOn) {
+            Resources room = m.freeSoon();
+            for (; job.spec.perTask().fitsIn(room); tasks++) {
+                room = room.minus(job.spec.perTask());
+            }
+        }
+        return tasks;
+    }
+
     private static boolean fits(Job job, MachineType type, int zone, boolean spot, int[] inZone, int common) {
         return job.spec.allowsType(type.name()) && (!spot || job.spec.spotAllowed()) && job.zoneAllowed[zone]
                 && (common < 0 || common == zone) && inZone[zone] < job.spec.zoneCap() && job.spec.perTask().fitsIn(type.capacity());
@@ -301,7 +313,7 @@
                     }
                 }
                 case UP -> {
-                    boolean aged = m.idle() && m.held.equals(Resources.NONE) && m.heldFor == null
+                    boolean aged = m.idle() && m.held.equals(Resources.NONE) && m.heldFor() == null
                             && now - m.idleSince > cluster.policy.idleS();
                     if (aged && (m.spot || idle >= 1)) {
                         idle -= m.spot ? 0 : 1;
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -29,12 +29,16 @@
         if (!job.team.withinLimit(job.spec.perTask().times(job.spec.tasks()))) {
             return false;
         }
-        List<Machine> places = placeAll(offer, job);
-        if (job.spec.tasks() == 1 && !places.isEmpty() && places.get(0).heldFor != job
-                && preemption.beats(Placing.fetchSeconds(job, places.get(0)), job, now)) {
-            return false;
-        }
+        List<Machine> places = placeAll(offer.machines(), offer, job);
         if (places.size() == job.spec.tasks()) {
+            double fetch = places.stream().mapToDouble(m -> Placing.fetchSeconds(job, m)).max().orElse(0);
+            if (preemption.beats(fetch, job, now)) {
+                // Where machines are made free for it the gang starts as soon as they are.
+                places = placeAll(job.heldOn, offer, job);
+                if (places.size() < job.spec.tasks()) {
+                    return false;
+                }
+            }
             job.holdUntil = 0;
             job.gangAttempt = cluster.nextAttempt();
             for (int task = 0; task < places.size(); task++) {
@@ -42,7 +46,9 @@
             }
             return true;
         }
-        hold(job, places, now);
+        if (!preemption.makesRoom(job, now)) {
+            hold(job, places, now);
+        }
         return false;
     }
 
@@ -69,13 +75,13 @@
     }
 
     /** Places for as many tasks as fit, in the zone that takes most where all must share one. */
-    private List<Machine> placeAll(Offer offer, Job job) {
+    private static List<Machine> placeAll(List<Machine> machines, Offer offer, Job job) {
         if (!job.spec.oneZone()) {
-            return place(offer, job, -1);
+            return place(machines, offer, job, -1);
         }
         List<Machine> most = List.of();
         for (int zone = 0; zone < job.perZone.length; zone++) {
-            List<Machine> places = place(offer, job, zone);
+            List<Machine> places = place(machines, offer, job, zone);
             if (places.size() > most.size() || places.size() == most.size() && !places.isEmpty() && cost(job, places) < cost(job, most)) {
                 most = places;
             }
@@ -87,12 +93,12 @@
         return places.stream().mapToDouble(m -> Placing.cost(job, m)).max().orElse(Double.POSITIVE_INFINITY);
     }
 
-    private static List<Machine> place(Offer offer, Job job, int onlyZone) {
+    private static List<Machine> place(List<Machine> machines, Offer offer, Job job, int onlyZone) {
         List<Machine> places = new ArrayList<>();
         Resources need = job.spec.perTask();
         int[] inZone = new int[job.perZone.length];
         List<Machine> candidates = new ArrayList<>();
-        for (Machine m : offer.machines()) {
+        for (Machine m : machines) {
             if ((onlyZone < 0 || m.zone == onlyZone) && offer.allows(job, m)) {
                 candidates.add(m);
             }
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -1,7 +1,9 @@
 package io.kelphoist.core;
 
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.List;
 
 /** A job that the leader works on. */
 public final class Job {
@@ -42,6 +44,8 @@
     double holdUntil;
     /** Until then it gets no pieces held. */
     double holdFilterUntil;
+    /** Machines that are held for it, see {@link Machine#heldFor}. */
+    final List<Machine> heldOn = new ArrayList<>();
     /** Until then no machine is held for it. */
     double machineFilterUntil;
     int running;
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -55,9 +55,9 @@
     /** Images it should have cached, least recently used first. */
     private final IntArrayList images = new IntArrayList();
     private double imagesGb;
-    /** Held for this job: offered to no other team until the time. */
-    Job heldFor;
-    double heldUntil;
+    /** Held for this job: offered to no other team until the time. {@link #holdFor} is the one place where it changes. */
+    private Job heldFor;
+    private double heldUntil;
     final List<Job> failedJobs = new ArrayList<>();
 
     Machine(String name, String address, MachineType type, int zone, boolean spot, State state, double now) {
@@ -113,6 +113,38 @@
         return heldFor != null && heldFor != job && now < heldUntil;
     }
 
+    Job heldFor() {
+        return heldFor;
+    }
+
+    /** {@code job} null: for none. */
+    void holdFor(Job job, double until) {
+        if (heldFor != null) {
+            heldFor.heldOn.remove(this);
+        }
+        heldFor = job;
+        heldUntil = until;
+        if (job != null) {
+            job.heldOn.add(this);
+        }
+    }
+
+    /** Whether its hold is over: too long, in vain, or no longer needed. */
+    boolean holdOver(double now) {
+        return heldFor != null && (now >= heldUntil || !takesWork(now) || !heldFor.active() || heldFor.pending.isEmpty());
+    }
+
+    /** Room once the tasks that are being stopped have left. */
+    Resources freeSoon() {
+        Resources room = free();
+        for (Placement p : placements) {
+            if (p.stopping() && p.state().occupies()) {
+                room = room.plus(p.job.spec.perTask());
+            }
+        }
+        return room;
+    }
+
     boolean caches(int image) {
         return images.contains(image);
     }
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -22,6 +22,8 @@
     private static final double WORTH_STOPPING_S = 1.0;
     /** Fetches are slower than said by up to a third. */
     private static final double SLOW_FETCH = 1.33;
+    /** Where no room can be made, that is looked at again after this time. */
+    private static final double NEXT_PLAN_S = 1.0;
     private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
     private final Cluster cluster;
 
@@ -35,43 +37,30 @@
             if (held >= MOST_PER_RUN) {
                 return;
             }
-            boolean guaranteed = job.team.withinGuarantee(job.spec.perTask());
+            Resources need = atOnce(job);
+            boolean guaranteed = job.team.withinGuarantee(need);
             double patience = job.spec.priority().compareTo(Priority.HIGH) >= 0 ? 0 : PATIENCE_S;
             if (job.spec.kind() == JobKind.ARRAY && !guaranteed || now - job.waitingSince < patience
                     || now < job.machineFilterUntil || job.gangRan) {
                 continue;
             }
-            if (!job.team.withinLimit(job.spec.perTask())) {
-                makeRoomInTeam(job, now);
+            if (!job.team.withinLimit(need)) {
+                makeRoomInTeam(job, need, now);
                 continue;
             }
-            if (alreadyHolds(job, now)) {
-                continue;
-            }
-            if (holdOne(job, now)) {
+            if (job.heldOn.isEmpty() && hold(job, now)) {
                 held++;
             }
         }
     }
 
-    private boolean alreadyHolds(Job job, double now) {
-        boolean holds = false;
-        for (Machine m : cluster.machines.values()) {
-            if (m.heldFor == job) {
-                if (now < m.heldUntil && m.takesWork(now)) {
-                    holds = true;
-                } else {
-                    m.heldFor = null;
-                    job.machineFilterUntil = now + cluster.policy.offerS();
-                }
-            }
-        }
-        return holds;
+    /** What must be there for anything of the job to start: a gang starts whole. */
+    private static Resources atOnce(Job job) {
+        return job.spec.kind() == JobKind.GANG ? job.spec.perTask().times(job.pending.cardinality()) : job.spec.perTask();
     }
 
     /** Where the team's limit is in the way, its own work of lower priority gives way. */
-    private void makeRoomInTeam(Job job, double now) {
-        Resources need = job.spec.perTask();
+    private void makeRoomInTeam(Job job, Resources need, double now) {
         List<Placement> possible = new ArrayList<>();
         Resources freed = Resources.NONE;
         for (Machine m : cluster.machines.values()) {
@@ -100,94 +89,141 @@
         }
     }
 
-    private boolean holdOne(Job job, double now) {
+    private boolean hold(Job job, double now) {
         Plan plan = plan(job, now);
         if (plan == null) {
+            job.machineFilterUntil = now + NEXT_PLAN_S;
             return false;
         }
-        plan.machine.heldFor = job;
-        plan.machine.heldUntil = now + cluster.policy.machineHoldS();
-        LOG.debug("machine {} is held for {}, {} tasks stop", plan.machine.name, job.spec.id(), plan.victims.size());
-        for (Placement v : plan.victims) {
-            double grace = v.job.spec.checkpoints() ? v.job.spec.saveS() : 0;
-            if (v.job.spec.kind() == JobKind.GANG) {
-                cluster.stopGang(v.job, grace, now);
-            } else {
-                cluster.stop(v, grace, now);
+        for (Piece piece : plan.pieces) {
+            if (piece.machine.heldFor() != job) {
+                piece.machine.holdFor(job, now + cluster.policy.machineHoldS());
+                LOG.debug("machine {} is held for {}", piece.machine.name, job.spec.id());
+            }
+            for (Placement v : piece.victims) {
+                double grace = v.job.spec.checkpoints() ? v.job.spec.saveS() : 0;
+                if (v.job.spec.kind() == JobKind.GANG) {
+                    cluster.stopGang(v.job, grace, now);
+                } else {
+                    cluster.stop(v, grace, now);
+                }
             }
         }
         return true;
     }
 
+    /** Whether machines are held for it, or will be in this run. */
+    boolean makesRoom(Job job, double now) {
+        return !job.heldOn.isEmpty() || now >= job.machineFilterUntil && job.team.withinLimit(atOnce(job)) && plan(job, now) != null;
+    }
+
     /**
      * Whether a start after stopping something comes sooner than one that has to fetch its image for so long. Work with
      * a deadline is not stopped for a start that is soon enough for its class anyway.
      */
     boolean beats(double fetchS, Job job, double now) {
-        if (fetchS < WORTH_STOPPING_S || alreadyHolds(job, now)) {
+        if (fetchS < WORTH_STOPPING_S || !job.heldOn.isEmpty()) {
             return fetchS >= WORTH_STOPPING_S;
         }
         Plan plan = plan(job, now);
-        if (plan == null || plan.victims.isEmpty() || plan.cost >= fetchS) {
+        if (plan == null || plan.cost >= fetchS || plan.pieces.stream().allMatch(piece -> piece.victims.isEmpty())) {
             return false;
         }
         double aim = cluster.policy.startWithinS().getOrDefault(job.spec.jobClass(), 0.0);
         boolean soonEnough = now - job.acceptedAt + fetchS * SLOW_FETCH < aim;
-        return !soonEnough || plan.victims.stream().noneMatch(v -> v.job.spec.deadlineS() != null);
+        return !soonEnough || plan.pieces.stream().flatMap(piece -> piece.victims.stream()).noneMatch(v -> v.job.spec.deadlineS() != null);
     }
 
-    /** Where one task of the job would start soonest, what has to stop for it, and what that costs in seconds. */
-    private record Plan(Machine machine, List<Placement> victims, double cost) { }
+    /** Room for one task of a job: what has to stop for it beyond what the machine's earlier pieces need. */
+    private record Piece(Machine machine, List<Placement> victims, double readyS, double lostS) {
+        double cost() {
+            return readyS + lostS;
+        }
+    }
+
+    /** Where a task, or a whole gang, would start soonest, and what that costs in seconds. */
+    private record Plan(List<Piece> pieces, double cost) { }
 
     private Plan plan(Job job, double now) {
-        boolean guaranteed = job.team.withinGuarantee(job.spec.perTask());
-        Plan best = null;
+        boolean guaranteed = job.team.withinGuarantee(atOnce(job));
+        int tasks = job.spec.kind() == JobKind.GANG ? job.pending.cardinality() : 1;
+        List<Piece> all = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
-            if (!m.takesWork(now) || m.heldForOther(job, now) || !Placing.allowed(job, m)) {
-                continue;
-            }
-            List<Placement> victims = victims(job, m, guaranteed, now);
-            if (victims == null) {
-                continue;
-            }
-            double cost = Placing.fetchSeconds(job, m);
-            double grace = 0;
-            for (Placement v : victims) {
-                grace = Math.max(grace, v.job.spec.checkpoints() ? v.job.spec.saveS() : 0);
-                cost += STOP_S + LOST_WORK * v.workAtRisk(now);
+            if (m.takesWork(now) && !m.heldForOther(job, now) && Placing.allowed(job, m)) {
+                pieces(job, m, tasks, guaranteed, now, all);
             }
-            cost += grace;
-            if (best == null || cost < best.cost) {
-                best = new Plan(m, victims, cost);
+        }
+        // Stable, and a machine's later pieces cost no less than its earlier ones: none is taken without those.
+        all.sort(Comparator.comparingDouble(Piece::cost));
+        if (!job.spec.oneZone() || tasks == 1) {
+            return best(job, all, tasks, -1);
+        }
+        Plan best = null;
+        for (int zone = 0; zone < job.perZone.length; zone++) {
+            Plan plan = best(job, all, tasks, zone);
+            if (plan != null && (best == null || plan.cost < best.cost)) {
+                best = plan;
             }
         }
         return best;
     }
 
-    /** The cheapest tasks whose end makes the job fit here; null: not possible. */
-    private List<Placement> victims(Job job, Machine m, boolean guaranteed, double now) {
-        Resources room = m.free();
-        List<Placement> possible = new ArrayList<>();
-        for (Placement p : m.placements) {
-            if (!p.state().occupies()) {
-                continue;
+    private static Plan best(Job job, List<Piece> all, int tasks, int onlyZone) {
+        List<Piece> chosen = new ArrayList<>();
+        int[] inZone = job.perZone.clone();
+        double ready = 0;
+        double lost = 0;
+        for (Piece piece : all) {
+            int zone = piece.machine.zone;
+            if ((onlyZone < 0 || zone == onlyZone) && inZone[zone] < job.spec.zoneCap()) {
+                chosen.add(piece);
+                inZone[zone]++;
+                ready = Math.max(ready, piece.readyS);
+                lost = Math.max(lost, piece.lostS);
+                if (chosen.size() == tasks) {
+                    return new Plan(chosen, ready + lost);
+                }
             }
-            if (p.stopping()) {
-                room = room.plus(p.job.spec.perTask());
-            } else if (mayStop(job, p, guaranteed)) {
-                possible.add(p);
+        }
+        return null;
+    }
+
+    /** The cheapest tasks whose end makes one task after the other fit here. */
+    private static void pieces(Job job, Machine m, int most, boolean guaranteed, double now, List<Piece> into) {
+        Resources need = job.spec.perTask();
+        if (!need.fitsIn(m.type.capacity())) {
+            return;
+        }
+        Resources room = m.freeSoon();
+        List<Placement> possible = List.of();
+        if (!need.times(most).fitsIn(room)) {
+            possible = new ArrayList<>();
+            for (Placement p : m.placements) {
+                if (p.state().occupies() && !p.stopping() && mayStop(job, p, guaranteed)) {
+                    possible.add(p);
+                }
             }
+            possible.sort(Comparator.comparing((Placement p) -> p.job.spec.priority()).thenComparingDouble(p -> p.workAtRisk(now)));
         }
-        possible.sort(Comparator.comparing((Placement p) -> p.job.spec.priority()).thenComparingDouble(p -> p.workAtRisk(now)));
-        List<Placement> victims = new ArrayList<>();
-        for (Placement p : possible) {
-            if (job.spec.perTask().fitsIn(room)) {
-                break;
+        double fetch = Placing.fetchSeconds(job, m);
+        double grace = 0;
+        double lost = 0;
+        int next = 0;
+        for (int piece = 0; piece < most; piece++) {
+            List<Placement> victims = new ArrayList<>();
+            while (!need.fitsIn(room) && next < possible.size()) {
+                Placement v = possible.get(next++);
+                victims.add(v);
+                room = room.plus(v.job.spec.perTask());
+                grace = Math.max(grace, v.job.spec.checkpoints() ? v.job.spec.saveS() : 0);
+                lost += STOP_S + LOST_WORK * v.workAtRisk(now);
             }
-            victims.add(p);
-            room = room.plus(p.job.spec.perTask());
+            if (!need.fitsIn(room)) {
+                return;
+            }
+            into.add(new Piece(m, victims, fetch + grace, lost));
+            room = room.minus(need);
         }
-        return job.spec.perTask().fitsIn(room) ? victims : null;
     }
 
     private static boolean mayStop(Job job, Placement p, boolean guaranteed) {
--- a/src/main/java/io/kelphoist/core/ServiceScheduler.java
+++ b/src/main/java/io/kelphoist/core/ServiceScheduler.java
@@ -17,7 +17,7 @@
             return false;
         }
         Machine m = Placing.best(offer, job);
-        if (m == null || preemption.beats(Placing.fetchSeconds(job, m), job, offer.now()) && m.heldFor != job) {
+        if (m == null || preemption.beats(Placing.fetchSeconds(job, m), job, offer.now()) && m.heldFor() != job) {
             return false;
         }
         cluster.start(job, task, m, cluster.nextAttempt(), offer.now());
