--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -657,8 +657,8 @@
         count(p);
         starts.add(p);
         if (m.heldFor() == job) {
-            // It served its purpose; for the next task another machine may be nearer to fitting, or the only one allowed.
-            m.holdFor(null, 0);
+            // For the next task another machine may be nearer to fitting, or the only one allowed.
+            m.usedHold();
         }
         LOG.debug("start {}/{} attempt {} on {}, waited {} s, fetch {} s, used {}", job.spec.id(), task, attempt, m.name,
                 round(now - job.waitingSince), round(Placing.fetchSeconds(job, m)), m.used);
@@ -772,6 +772,7 @@
         Machine m = machines.remove(name);
         if (m != null) {
             m.to(Machine.State.GONE, now);
+            m.endHold();
             for (Placement p : new ArrayList<>(m.placements)) {
                 vanish(p, now);
             }
@@ -791,7 +792,7 @@
                 if (m.heldFor().active() && !m.heldFor().pending.isEmpty()) {
                     m.heldFor().machineFilterUntil = now + policy.offerS();
                 }
-                m.holdFor(null, 0);
+                m.endHold();
             }
         }
         escalate(now);
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,6 +17,7 @@
     private static final double SLOW_BOOT = 1.8;
     /** ...and given up after this many. */
     private static final double DEAD_BOOT = 3.5;
+    private static final double SUMMARY_EVERY_S = 5;
     private static final double REFUSED_FOR_S = 15;
     private static final double LOST_FOR_S = 20;
     private static final int MOST_PER_REQUEST = 50;
@@ -47,6 +49,7 @@
     /** Requests without a final answer, and when to ask again. */
     private final Map<Rental, Double> open = new LinkedHashMap<>();
     private double nextRun;
+    private double nextSummary;
     private boolean returning;
     private double returnRetryAt;
     private long requests;
@@ -62,6 +65,10 @@
             return;
         }
         nextRun = now + EVERY_S;
+        if (LOG.isDebugEnabled() && now >= nextSummary) {
+            nextSummary = now + SUMMARY_EVERY_S;
+            summary(unplaced);
+        }
         List<Room> rooms = rooms(now);
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
         for (Job job : unplaced) {
@@ -78,6 +85,27 @@
         giveBack(spare, now);
     }
 
+    private void summary(List<Job> unplaced) {
+        Map<String, Integer> states = new TreeMap<>();
+        double used = 0;
+        double running = 0;
+        double held = 0;
+        for (Machine m : cluster.machines.values()) {
+            states.merge(m.state() + (m.spot ? " spot" : "") + (m.idle() ? " idle" : ""), 1, Integer::sum);
+            used += m.used.dominantShare(m.type.capacity());
+            held += m.heldFor() != null ? m.free().dominantShare(m.type.capacity()) : m.held.dominantShare(m.type.capacity());
+            for (Placement p : m.placements) {
+                if (p.state() == Placement.State.RUNNING) {
+                    running += p.job.spec.perTask().dominantShare(m.type.capacity());
+                }
+            }
+        }
+        Map<JobKind, Integer> waiting = new TreeMap<>();
+        unplaced.forEach(job -> waiting.merge(job.spec.kind(), job.pending.cardinality(), Integer::sum));
+        LOG.debug("fleet: {}, in machines: {} used, {} running, {} held; tasks without room {}, open rentals {}", states, Math.round(used),
+                Math.round(running), Math.round(held), waiting, open.size());
+    }
+
     private List<Room> rooms(double now) {
         List<Room> rooms = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
@@ -138,14 +166,7 @@
 
     /** Tasks for which machines are held: they need no other. */
     private static int covered(Job job) {
-        int tasks = 0;
-        for (Machine m : job.heldOn) {
-            Resources room = m.freeSoon();
-            for (; job.spec.perTask().fitsIn(room); tasks++) {
-                room = room.minus(job.spec.perTask());
-            }
-        }
-        return tasks;
+        return job.heldOn.stream().mapToInt(Machine::heldTasks).sum();
     }
 
     private static boolean fits(Job job, MachineType type, int zone, boolean spot, int[] inZone, int common) {
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -55,9 +55,11 @@
     /** Images it should have cached, least recently used first. */
     private final IntArrayList images = new IntArrayList();
     private double imagesGb;
-    /** Held for this job: offered to no other team until the time. {@link #holdFor} is the one place where it changes. */
+    /** Held for this job: offered to no other team until the time. see {@link #holdFor}. */
     private Job heldFor;
     private double heldUntil;
+    /** For so many of its tasks. */
+    private int heldTasks;
     final List<Job> failedJobs = new ArrayList<>();
 
     Machine(String name, String address, MachineType type, int zone, boolean spot, State state, double now) {
@@ -117,18 +119,36 @@
         return heldFor;
     }
 
-    /** {@code job} null: for none. */
+    /** Holds it for one more task of the job. */
     void holdFor(Job job, double until) {
-        if (heldFor != null) {
-            heldFor.heldOn.remove(this);
+        if (heldFor != job) {
+            endHold();
+            heldFor = job;
+            job.heldOn.add(this);
         }
-        heldFor = job;
         heldUntil = until;
-        if (job != null) {
-            job.heldOn.add(this);
+        heldTasks++;
+    }
+
+    /** A task of the job that it was held for started here. */
+    void usedHold() {
+        if (--heldTasks <= 0) {
+            endHold();
         }
     }
 
+    void endHold() {
+        if (heldFor != null) {
+            heldFor.heldOn.remove(this);
+            heldFor = null;
+            heldTasks = 0;
+        }
+    }
+
+    int heldTasks() {
+        return heldTasks;
+    }
+
     /** Whether its hold is over: too long, in vain, or no longer needed. */
     boolean holdOver(double now) {
         return heldFor != null && (now >= heldUntil || !takesWork(now) || !heldFor.active() || heldFor.pending.isEmpty());
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -96,10 +96,8 @@
             return false;
         }
         for (Piece piece : plan.pieces) {
-            if (piece.machine.heldFor() != job) {
-                piece.machine.holdFor(job, now + cluster.policy.machineHoldS());
-                LOG.debug("machine {} is held for {}", piece.machine.name, job.spec.id());
-            }
+            piece.machine.holdFor(job, now + cluster.policy.machineHoldS());
+            LOG.debug("machine {} is held for {}, {} tasks stop", piece.machine.name, job.spec.id(), piece.victims.size());
             for (Placement v : piece.victims) {
                 double grace = v.job.spec.checkpoints() ? v.job.spec.saveS() : 0;
                 if (v.job.spec.kind() == JobKind.GANG) {
@@ -146,7 +144,10 @@
 
     private Plan plan(Job job, double now) {
         boolean guaranteed = job.team.withinGuarantee(atOnce(job));
-        int tasks = job.spec.kind() == JobKind.GANG ? job.pending.cardinality() : 1;
+        int tasks = job.spec.kind() == JobKind.ARRAY ? 1 : job.pending.cardinality();
+        while (tasks > 1 && !job.team.withinLimit(job.spec.perTask().times(tasks))) {
+            tasks--;
+        }
         List<Piece> all = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
             if (m.takesWork(now) && !m.heldForOther(job, now) && Placing.allowed(job, m)) {
@@ -168,6 +169,7 @@
         return best;
     }
 
+    /** A gang waits for its last piece, replicas for none but their own. */
     private static Plan best(Job job, List<Piece> all, int tasks, int onlyZone) {
         List<Piece> chosen = new ArrayList<>();
         int[] inZone = job.perZone.clone();
@@ -175,17 +177,17 @@
         double lost = 0;
         for (Piece piece : all) {
             int zone = piece.machine.zone;
-            if ((onlyZone < 0 || zone == onlyZone) && inZone[zone] < job.spec.zoneCap()) {
+            if (chosen.size() < tasks && (onlyZone < 0 || zone == onlyZone) && inZone[zone] < job.spec.zoneCap()) {
                 chosen.add(piece);
                 inZone[zone]++;
                 ready = Math.max(ready, piece.readyS);
                 lost = Math.max(lost, piece.lostS);
-                if (chosen.size() == tasks) {
-                    return new Plan(chosen, ready + lost);
-                }
             }
         }
-        return null;
+        if (job.spec.kind() == JobKind.GANG) {
+            return chosen.size() < tasks ? null : new Plan(chosen, ready + lost);
+        }
+        return chosen.isEmpty() ? null : new Plan(chosen, chosen.get(0).cost());
     }
 
     /** The cheapest tasks whose end makes one task after the other fit here. */
