--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -19,7 +18,6 @@
     /** ...and given up after this many. */
     private static final double DEAD_BOOT = 3.5;
     private static final double SUMMARY_EVERY_S = 5;
-    private static final double SUMMARY_EVERY_S = 5;
     private static final double REFUSED_FOR_S = 15;
     private static final double LOST_FOR_S = 20;
     private static final int MOST_PER_REQUEST = 50;
@@ -52,7 +50,6 @@
     private final Map<Rental, Double> open = new LinkedHashMap<>();
     private double nextRun;
     private double nextSummary;
-    private double nextSummary;
     private boolean returning;
     private double returnRetryAt;
     private long requests;
@@ -72,10 +69,6 @@
             nextSummary = now + SUMMARY_EVERY_S;
             summary(unplaced);
         }
-        if (LOG.isDebugEnabled() && now >= nextSummary) {
-            nextSummary = now + SUMMARY_EVERY_S;
-            summary(unplaced);
-        }
         List<Room> rooms = rooms(now);
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
         for (Job job : unplaced) {
@@ -113,27 +106,6 @@
                 Math.round(running), Math.round(held), waiting, open.size());
     }
 
-    private void summary(List<Job> unplaced) {
-        Map<String, Integer> states = new TreeMap<>();
-        double used = 0;
-        double running = 0;
-        double held = 0;
-        for (Machine m : cluster.machines.values()) {
-            states.merge(m.state() + (m.spot ? " spot" : "") + (m.idle() ? " idle" : ""), 1, Integer::sum);
-            used += m.used.dominantShare(m.type.capacity());
-            held += m.heldFor() != null ? m.free().dominantShare(m.type.capacity()) : m.held.dominantShare(m.type.capacity());
-            for (Placement p : m.placements) {
-                if (p.state() == Placement.State.RUNNING) {
-                    running += p.job.spec.perTask().dominantShare(m.type.capacity());
-                }
-            }
-        }
-        Map<JobKind, Integer> waiting = new TreeMap<>();
-        unplaced.forEach(job -> waiting.merge(job.spec.kind(), job.pending.cardinality(), Integer::sum));
-        LOG.debug("fleet: {}, in machines: {} used, {} running, {} held; tasks without room {}, open rentals {}", states, Math.round(used),
-                Math.round(running), Math.round(held), waiting, open.size());
-    }
-
     private List<Room> rooms(double now) {
         List<Room> rooms = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
