--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -55,10 +55,15 @@
             waiting.values().forEach(jobs -> jobs.sort(TEAM_ORDER));
             List<Machine> machines = new ArrayList<>();
             Resources total = Resources.NONE;
+            Resources least = waiting.values().stream().flatMap(List::stream).map(job -> job.spec.perTask()).reduce(Resources::least).orElseThrow();
             for (Machine m : cluster.machines.values()) {
                 if (m.takesWork(now)) {
-                    machines.add(m);
                     total = total.plus(m.type.capacity());
+                    // On a busy day most machines are full, and every job asks every machine that is offered. A gang
+                    // gives up its held pieces before it chooses anew.
+                    if (least.fitsIn(m.free().plus(m.held()))) {
+                        machines.add(m);
+                    }
                 }
             }
             offer(waiting, machines, total, left, now);
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -433,7 +433,7 @@
     /** Counts an attempt in: room, quota, zone. */
     private void count(Placement p) {
         p.counted = true;
-        p.machine.used = p.machine.used.plus(p.job.spec.perTask());
+        p.machine.occupy(p.job.spec.perTask());
         p.job.team.used = p.job.team.used.plus(p.job.spec.perTask());
         p.job.perZone[p.machine.zone]++;
         if (!p.job.at.containsKey(p.task)) {
@@ -450,7 +450,7 @@
         }
         p.counted = false;
         Job job = p.job;
-        p.machine.used = p.machine.used.minus(job.spec.perTask());
+        p.machine.vacate(job.spec.perTask());
         job.team.used = job.team.used.minus(job.spec.perTask());
         job.perZone[p.machine.zone]--;
         if (job.at.get(p.task) != p) {
@@ -661,7 +661,7 @@
             m.usedHold();
         }
         LOG.debug("start {}/{} attempt {} on {}, waited {} s, fetch {} s, used {}", job.spec.id(), task, attempt, m.name,
-                round(now - job.waitingSince), round(Placing.fetchSeconds(job, m)), m.used);
+                round(now - job.waitingSince), round(Placing.fetchSeconds(job, m)), m.used());
     }
 
     /** Attempts hold the term, so that no two of them are ever the same. */
--- a/src/main/java/io/kelphoist/core/Consolidation.java
+++ b/src/main/java/io/kelphoist/core/Consolidation.java
@@ -48,9 +48,9 @@
             if (!m.takesWork(now) || m.spot) {
                 continue;
             }
-            double used = m.used.dominantShare(m.type.capacity());
+            double used = m.used().dominantShare(m.type.capacity());
             free += 1 - used;
-            if (m.heldFor() == null && m.held.equals(Resources.NONE) && !m.idle() && used < leastUsed) {
+            if (m.heldFor() == null && m.held().equals(Resources.NONE) && !m.idle() && used < leastUsed) {
                 least = m;
                 leastUsed = used;
             }
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -92,8 +92,8 @@
         double held = 0;
         for (Machine m : cluster.machines.values()) {
             states.merge(m.state() + (m.spot ? " spot" : "") + (m.idle() ? " idle" : ""), 1, Integer::sum);
-            used += m.used.dominantShare(m.type.capacity());
-            held += m.heldFor() != null ? m.free().dominantShare(m.type.capacity()) : m.held.dominantShare(m.type.capacity());
+            used += m.used().dominantShare(m.type.capacity());
+            held += m.heldFor() != null ? m.free().dominantShare(m.type.capacity()) : m.held().dominantShare(m.type.capacity());
             for (Placement p : m.placements) {
                 if (p.state() == Placement.State.RUNNING) {
                     running += p.job.spec.perTask().dominantShare(m.type.capacity());
@@ -137,12 +137,15 @@
         }
         int[] inZone = job.perZone.clone();
         int common = job.commonZone();
+        // What one task of a job does not fit in, the next does not either: room only shrinks here.
+        int from = 0;
         for (int i = 0; i < allowed; i++) {
             Room room = null;
-            for (Room r : rooms) {
-                if (fits(job, r.type, r.zone, r.spot, inZone, common) && job.spec.perTask().fitsIn(r.free)) {
+            for (; from < rooms.size() && room == null; from++) {
+                Room r = rooms.get(from);
+                if (job.spec.perTask().fitsIn(r.free) && fits(job, r.type, r.zone, r.spot, inZone, common)) {
                     room = r;
-                    break;
+                    from--;
                 }
             }
             if (room == null) {
@@ -334,7 +337,7 @@
                     }
                 }
                 case UP -> {
-                    boolean aged = m.idle() && m.held.equals(Resources.NONE) && m.heldFor() == null
+                    boolean aged = m.idle() && m.held().equals(Resources.NONE) && m.heldFor() == null
                             && now - m.idleSince > cluster.policy.idleS();
                     if (aged && (m.spot || idle >= 1)) {
                         idle -= m.spot ? 0 : 1;
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -130,7 +130,7 @@
         for (Machine m : places) {
             if (job.team.withinGuarantee(job.team.held.plus(need))) {
                 pieces.add(new Piece(job, m));
-                m.held = m.held.plus(need);
+                m.keep(need);
                 job.team.held = job.team.held.plus(need);
             }
         }
@@ -148,7 +148,7 @@
 
     private boolean free(Piece piece) {
         Resources need = piece.job.spec.perTask();
-        piece.machine.held = piece.machine.held.minus(need);
+        piece.machine.release(need);
         piece.job.team.held = piece.job.team.held.minus(need);
         return true;
     }
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -48,9 +48,11 @@
     /** Gets no new work so that it can go back; takes work again when some waits. */
     boolean emptying;
     double ordersRetryAt;
-    Resources used = Resources.NONE;
+    private Resources used = Resources.NONE;
     /** Pieces held for gangs. */
-    Resources held = Resources.NONE;
+    private Resources held = Resources.NONE;
+    /** What both leave: asked for far more often than it changes. */
+    private Resources free;
     final List<Placement> placements = new ArrayList<>();
     /** Images it should have cached, least recently used first. */
     private final IntArrayList images = new IntArrayList();
@@ -69,6 +71,7 @@
         this.zone = zone;
         this.spot = spot;
         this.state = state;
+        this.free = type.capacity();
         this.rentedAt = now;
         this.idleSince = now;
         this.lastAnswer = now;
@@ -96,7 +99,39 @@
     }
 
     public Resources free() {
-        return type.capacity().minus(used).minus(held);
+        return free;
+    }
+
+    Resources used() {
+        return used;
+    }
+
+    Resources held() {
+        return held;
+    }
+
+    /** A task of this size is or may be here. */
+    void occupy(Resources task) {
+        set(used.plus(task), held);
+    }
+
+    void vacate(Resources task) {
+        set(used.minus(task), held);
+    }
+
+    /** A piece of a gang is held here. */
+    void keep(Resources piece) {
+        set(used, held.plus(piece));
+    }
+
+    void release(Resources piece) {
+        set(used, held.minus(piece));
+    }
+
+    private void set(Resources nowUsed, Resources nowHeld) {
+        used = nowUsed;
+        held = nowHeld;
+        free = type.capacity().minus(used).minus(held);
     }
 
     public long session() {
--- a/src/main/java/io/kelphoist/core/Offer.java
+++ b/src/main/java/io/kelphoist/core/Offer.java
@@ -10,6 +10,6 @@
 record Offer(TeamState team, List<Machine> machines, double now) {
     /** Machines of the offer on which one task of the job may start, constraints and room considered. */
     boolean allows(Job job, Machine m) {
-        return !m.heldForOther(job, now) && Placing.allowed(job, m) && job.spec.perTask().fitsIn(m.free());
+        return job.spec.perTask().fitsIn(m.free()) && !m.heldForOther(job, now) && Placing.allowed(job, m);
     }
 }
--- a/src/main/java/io/kelphoist/core/Placing.java
+++ b/src/main/java/io/kelphoist/core/Placing.java
@@ -58,7 +58,7 @@
         Resources left = m.free().minus(job.spec.perTask());
         double unused = left.dominantShare(m.type.capacity());
         double cost = fetchSeconds(job, m) + PACKING_S * unused;
-        if (m.used.gpus() + m.used.cpus() <= 1e-6 && unused > 0.5) {
+        if (m.used().gpus() + m.used().cpus() <= 1e-6 && unused > 0.5) {
             cost += BREAK_EMPTY_S;
         }
         if (job.spec.spotAllowed() && !m.spot && job.spec.priority().compareTo(Priority.HIGH) < 0) {
--- a/src/main/java/io/kelphoist/core/Resources.java
+++ b/src/main/java/io/kelphoist/core/Resources.java
@@ -18,6 +18,11 @@
         return new Resources(cpus * n, gpus * n, memoryGb * n);
     }
 
+    /** The lesser amount of each resource. */
+    public Resources least(Resources other) {
+        return new Resources(Math.min(cpus, other.cpus), Math.min(gpus, other.gpus), Math.min(memoryGb, other.memoryGb));
+    }
+
     public boolean fitsIn(Resources room) {
         return cpus <= room.cpus + SLACK && gpus <= room.gpus + SLACK && memoryGb <= room.memoryGb + SLACK;
     }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -45,6 +45,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final double TICK_S = 0.2;
     private static final double SOON_S = 0.015;
+    /** After a decision the loop is left to others for so many times as long. */
+    private static final double DECISION_SHARE = 2;
     private static final double TYPES_EVERY_S = 45;
     private static final double NEWS_EVERY_S = 1.0;
     private static final int RELAY_TIMEOUT_MS = 2000;
@@ -75,6 +77,7 @@
     private Store store;
     private boolean loaded;
     private boolean tickSoon;
+    private double nextDecision;
     private double typesAt = Double.NEGATIVE_INFINITY;
     private boolean typesAsked;
     private double listAt;
@@ -155,6 +158,8 @@
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER && cluster != null && loaded && election.mayAct(now)) {
             cluster.tick(now);
+            // A decision over a large fleet takes a while, above all in a process that just began: reports go first.
+            nextDecision = now + DECISION_SHARE * (loop.now() - now);
             if (cluster.deposed()) {
                 election.resign("a worker has seen a higher term", now);
                 return;
@@ -169,7 +174,7 @@
     private void soon() {
         if (!tickSoon) {
             tickSoon = true;
-            loop.after(SOON_S, () -> {
+            loop.after(Math.max(SOON_S, nextDecision - loop.now()), () -> {
                 tickSoon = false;
                 tick();
             });
