--- a/src/main/java/io/kelphoist/cloud/CloudClient.java
+++ b/src/main/java/io/kelphoist/cloud/CloudClient.java
@@ -30,6 +30,7 @@
     private final HttpCaller calls;
     private final StateClient.Loop loop;
     private final RateGate gate;
+    private long garbage;
 
     public CloudClient(HttpCaller calls, StateClient.Loop loop, double rps) {
         this.calls = calls;
@@ -49,7 +50,7 @@
             try {
                 types = body == null ? null : Codec.types(body);
             } catch (BadMessage e) {
-                LOG.warn("machine types: {}", e.getMessage());
+                garbage("machine types", e);
             }
             handler.accept(types);
         });
@@ -68,7 +69,7 @@
                     handler.on(Codec.names(body), false);
                     return;
                 } catch (BadMessage e) {
-                    LOG.warn("rental {}: {}", rental.name(), e.getMessage());
+                    garbage("rental " + rental.name(), e);
                 }
             }
             handler.on(null, noCapacity(reply));
@@ -122,18 +123,28 @@
                     handler.accept(found);
                 }
             } catch (BadMessage e) {
-                LOG.warn("machine list: {}", e.getMessage());
+                garbage("machine list", e);
                 handler.accept(null);
             }
         });
     }
 
-    private static ObjectNode body(HttpCaller.Reply reply) {
+    private void garbage(String what, BadMessage e) {
+        garbage++;
+        LOG.warn("{}: {}", what, e.getMessage());
+    }
+
+    /** Answers that could not be understood; each was treated as none. */
+    public long garbage() {
+        return garbage;
+    }
+
+    private ObjectNode body(HttpCaller.Reply reply) {
         if (reply instanceof HttpCaller.Answer a && a.status() == 200) {
             try {
                 return Cbor.decode(a.body());
             } catch (BadMessage e) {
-                LOG.warn("the cloud sent something {}", e.getMessage());
+                garbage("the cloud sent something", e);
             }
         }
         return null;
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -477,6 +477,11 @@
         return leadership.election();
     }
 
+    /** Answers of outside systems and other controllers that could not be understood. */
+    long garbage() {
+        return state.garbage() + cloud.garbage() + peers.garbage();
+    }
+
     int writesWaiting() {
         return committer.waiting();
     }
