Tidy: one place each for what the growth wrote twice

One count and log of unreadable answers (Controller) and not one a client; one task-name parser (Codec.task); one count of tasks within a team's limit; one grace of a stopped task; what schedulers were offered is counted in the allocator. Machines by kind are counted once a run of the fleet and not for each task. A page's stored entries are not copied for each entry read at a take-over; ProgressRecords keeps what it sent with the piece.

--- a/src/main/java/io/kelphoist/cloud/CloudClient.java
+++ b/src/main/java/io/kelphoist/cloud/CloudClient.java
@@ -13,12 +13,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The cloud by its protocol, within its limit of requests; renting and returning go before listing. */
 public final class CloudClient {
-    private static final Logger LOG = LoggerFactory.getLogger(CloudClient.class);
     private static final int TIMEOUT_MS = 4000;
     private static final int PAGE = 500;
 
@@ -30,9 +27,11 @@
     private final HttpCaller calls;
     private final StateClient.Loop loop;
     private final RateGate gate;
-    private long garbage;
+    private final Consumer<String> garbage;
 
-    public CloudClient(HttpCaller calls, StateClient.Loop loop, double rps) {
+    /** @param garbage told of answers that can't be understood; each is treated as none */
+    public CloudClient(HttpCaller calls, StateClient.Loop loop, double rps, Consumer<String> garbage) {
+        this.garbage = garbage;
         this.calls = calls;
         this.loop = loop;
         this.gate = new RateGate(rps * 0.9, 2);
@@ -50,7 +49,7 @@
             try {
                 types = body == null ? null : Codec.types(body);
             } catch (BadMessage e) {
-                garbage("machine types", e);
+                garbage.accept("machine types: " + e.getMessage());
             }
             handler.accept(types);
         });
@@ -69,7 +68,7 @@
                     handler.on(Codec.names(body), false);
                     return;
                 } catch (BadMessage e) {
-                    garbage("rental " + rental.name(), e);
+                    garbage.accept("rental " + rental.name() + ": " + e.getMessage());
                 }
             }
             handler.on(null, noCapacity(reply));
@@ -123,28 +122,18 @@
                     handler.accept(found);
                 }
             } catch (BadMessage e) {
-                garbage("machine list", e);
+                garbage.accept("machine list: " + e.getMessage());
                 handler.accept(null);
             }
         });
     }
 
-    private void garbage(String what, BadMessage e) {
-        garbage++;
-        LOG.warn("{}: {}", what, e.getMessage());
-    }
-
-    /** Answers that could not be understood; each was treated as none. */
-    public long garbage() {
-        return garbage;
-    }
-
     private ObjectNode body(HttpCaller.Reply reply) {
         if (reply instanceof HttpCaller.Answer a && a.status() == 200) {
             try {
                 return Cbor.decode(a.body());
             } catch (BadMessage e) {
-                garbage("the cloud sent something", e);
+                garbage.accept("the cloud sent something " + e.getMessage());
             }
         }
         return null;
--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -27,6 +27,7 @@
     private final Map<JobKind, KindScheduler> schedulers = new EnumMap<>(JobKind.class);
     private final Preemption preemption;
     private List<Job> unplaced = List.of();
+    private long considered;
 
     Allocator(Cluster cluster) {
         this.cluster = cluster;
@@ -42,6 +43,10 @@
         return unplaced;
     }
 
+    long considered() {
+        return considered;
+    }
+
     void run(double now) {
         gangs.releaseStale(now);
         Map<TeamState, List<Job>> waiting = new LinkedHashMap<>();
@@ -102,6 +107,7 @@
     private boolean accept(Offer offer, List<Job> jobs, List<Job> left) {
         for (Iterator<Job> i = jobs.iterator(); i.hasNext();) {
             Job job = i.next();
+            considered += offer.machines().size();
             if (schedulers.get(job.spec.kind()).consider(offer, job)) {
                 if (job.pending.isEmpty()) {
                     i.remove();
--- a/src/main/java/io/kelphoist/core/ArrayScheduler.java
+++ b/src/main/java/io/kelphoist/core/ArrayScheduler.java
@@ -18,7 +18,6 @@
         if (task < 0 || !job.team.withinLimit(job.spec.perTask())) {
             return false;
         }
-        cluster.considering(offer.machines());
         Machine m = Placing.best(offer, job);
         if (m == null || !m.caches(job.image) && shouldWait(job, m, offer.now())) {
             return false;
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -53,7 +53,6 @@
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
-    private long considered;
     /** An earlier term left starts on record. */
     private boolean foundStarts;
     private boolean recovered;
@@ -102,13 +101,9 @@
         return recovered;
     }
 
-    /** How many machines schedulers looked at so far: what decisions cost. */
+    /** How many machines schedulers were offered so far, for each job anew: what decisions cost. */
     public long considered() {
-        return considered;
-    }
-
-    void considering(List<Machine> machines) {
-        considered += machines.size();
+        return allocator.considered();
     }
 
     public String zoneName(int zone) {
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -20,6 +20,8 @@
     private static final double SUMMARY_EVERY_S = 5;
     private static final double REFUSED_FOR_S = 15;
     private static final double LOST_FOR_S = 20;
+    /** Tasks of one job that machines are rented for at a time. */
+    private static final int MOST_TASKS_PER_JOB = 200;
     private static final int MOST_PER_REQUEST = 50;
     private static final int MOST_PER_RETURN = 100;
 
@@ -46,6 +48,7 @@
     private final Cluster cluster;
     private final Consolidation consolidation;
     private final Map<Kind, Double> refusedUntil = new HashMap<>();
+    private final Map<Kind, Integer> counts = new HashMap<>();
     /** Requests without a final answer, and when to ask again. */
     private final Map<Rental, Double> open = new LinkedHashMap<>();
     private double nextRun;
@@ -69,6 +72,7 @@
             nextSummary = now + SUMMARY_EVERY_S;
             summary(unplaced);
         }
+        count();
         List<Room> rooms = rooms(now);
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
         for (Job job : unplaced) {
@@ -126,15 +130,11 @@
     }
 
     private void demand(Job job, List<Room> rooms, Map<Kind, Integer> wanted, double now) {
-        int tasks = job.pending.cardinality() - covered(job);
-        TeamState team = job.team;
-        int allowed = 0;
-        while (allowed < tasks && allowed < 200 && team.withinLimit(job.spec.perTask().times(allowed + 1))) {
-            allowed++;
-        }
         if (job.gangRan) {
             return;
         }
+        int tasks = Math.min(MOST_TASKS_PER_JOB, job.pending.cardinality() - covered(job));
+        int allowed = job.team.tasksWithinLimit(job.spec.perTask(), tasks);
         int[] inZone = job.perZone.clone();
         int common = job.commonZone();
         // What one task of a job does not fit in, the next does not either: room only shrinks here.
@@ -200,19 +200,19 @@
         return best;
     }
 
-    private int count(Kind kind) {
-        int count = 0;
+    /** Machines there and asked for, once a run: each task that finds no room compares all kinds. */
+    private void count() {
+        counts.clear();
         for (Machine m : cluster.machines.values()) {
-            if (m.zone == kind.zone && m.spot == kind.spot && m.type.name().equals(kind.type)) {
-                count++;
-            }
+            counts.merge(new Kind(m.type.name(), m.zone, m.spot), 1, Integer::sum);
         }
         for (Rental r : open.keySet()) {
-            if (r.spot() == kind.spot && r.type().equals(kind.type) && cluster.zones.find(r.zone()) == kind.zone) {
-                count += r.count();
-            }
+            counts.merge(new Kind(r.type(), cluster.zones.find(r.zone()), r.spot()), r.count(), Integer::sum);
         }
-        return count;
+    }
+
+    private int count(Kind kind) {
+        return counts.getOrDefault(kind, 0);
     }
 
     /** How much room should be free, in machines. */
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -29,7 +29,6 @@
         if (!job.team.withinLimit(job.spec.perTask().times(job.spec.tasks()))) {
             return false;
         }
-        cluster.considering(offer.machines());
         List<Machine> places = placeAll(offer.machines(), offer, job);
         if (places.size() == job.spec.tasks()) {
             double fetch = places.stream().mapToDouble(m -> Placing.fetchSeconds(job, m)).max().orElse(0);
--- a/src/main/java/io/kelphoist/core/JobSpec.java
+++ b/src/main/java/io/kelphoist/core/JobSpec.java
@@ -26,4 +26,9 @@
     public boolean checkpoints() {
         return checkpointS > 0;
     }
+
+    /** The time a stopped task gets to save; 0: it never saves. */
+    public double saveGraceS() {
+        return checkpoints() ? saveS : 0;
+    }
 }
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -57,7 +57,7 @@
     /** Images it should have cached, least recently used first. */
     private final IntArrayList images = new IntArrayList();
     private double imagesGb;
-    /** Held for this job: offered to no other team until the time. see {@link #holdFor}. */
+    /** Held for this job: offered to no other team until the time; see {@link #holdFor}. */
     private Job heldFor;
     private double heldUntil;
     /** For so many of its tasks. */
--- a/src/main/java/io/kelphoist/core/Pages.java
+++ b/src/main/java/io/kelphoist/core/Pages.java
@@ -3,7 +3,6 @@
 import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -40,7 +39,7 @@
         /** What the write under way holds; null: none is. */
         List<E> sent;
         /** What the stored value holds, as far as is known. */
-        List<E> stored = List.of();
+        final List<E> stored = new ArrayList<>();
 
         Page(int number) {
             this.number = number;
@@ -73,7 +72,6 @@
     /** An entry as it was found stored. */
     void restore(int number, E entry) {
         Page<E> page = page(number);
-        page.stored = new ArrayList<>(page.stored);
         page.stored.add(entry);
         assign(entry, page);
     }
@@ -134,11 +132,9 @@
 
     /** The entry {@code next} takes the place of another that means the same at the state service. */
     void replace(E entry, E next) {
-        Place<E> place = at.get(entry);
+        Page<E> page = at.get(entry).page;
         remove(entry);
-        if (place != null) {
-            assign(next, place.page);
-        }
+        assign(next, page);
     }
 
     void remove(E entry) {
@@ -152,10 +148,7 @@
     /** Stored entries of this kind mislead the next leader: their pages are written again in time. */
     void untidy(Predicate<E> misleading) {
         for (Page<E> page : pages) {
-            if (!page.untidy && (page.stored.stream().anyMatch(misleading)
-                    || page.sent != null && page.sent.stream().anyMatch(misleading))) {
-                page.untidy = true;
-            }
+            page.untidy |= page.stored.stream().anyMatch(misleading) || page.sent != null && page.sent.stream().anyMatch(misleading);
         }
     }
 
@@ -198,7 +191,7 @@
     }
 
     /** The outcome of a write; returns what it held. A page that was not surely stored is written again. */
-    Collection<E> written(int number, boolean stored) {
+    List<E> written(int number, boolean stored) {
         Page<E> page = number < pages.size() ? pages.get(number) : null;
         if (page == null || page.sent == null) {
             return List.of();
@@ -207,7 +200,8 @@
         page.sent = null;
         underWay--;
         if (stored) {
-            page.stored = sent;
+            page.stored.clear();
+            page.stored.addAll(sent);
         } else {
             page.dirty = true;
         }
--- a/src/main/java/io/kelphoist/core/Policy.java
+++ b/src/main/java/io/kelphoist/core/Policy.java
@@ -8,7 +8,7 @@
  *
  * @param recordBytes how large a value of records may become
  * @param startsEveryS least time between two values with starts, so that the state service's limits leave room for others
- * @param progressEveryS the same for values with done tasks
+ * @param progressEveryS the same for values with done tasks or cached images
  * @param startWithinS for each class that has such an aim, the time within which its tasks should start
  */
 public record Policy(
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -85,7 +85,7 @@
             freed = freed.plus(p.job.spec.perTask());
         }
         if (job.team.withinLimit(need.minus(freed))) {
-            victims.forEach(v -> cluster.stop(v, v.job.spec.checkpoints() ? v.job.spec.saveS() : 0, now));
+            victims.forEach(v -> cluster.stop(v, v.job.spec.saveGraceS(), now));
         }
     }
 
@@ -99,7 +99,7 @@
             piece.machine.holdFor(job, now + cluster.policy.machineHoldS());
             LOG.debug("machine {} is held for {}, {} tasks stop", piece.machine.name, job.spec.id(), piece.victims.size());
             for (Placement v : piece.victims) {
-                double grace = v.job.spec.checkpoints() ? v.job.spec.saveS() : 0;
+                double grace = v.job.spec.saveGraceS();
                 if (v.job.spec.kind() == JobKind.GANG) {
                     cluster.stopGang(v.job, grace, now);
                 } else {
@@ -120,8 +120,11 @@
      * a deadline is not stopped for a start that is soon enough for its class anyway.
      */
     boolean beats(double fetchS, Job job, double now) {
-        if (fetchS < WORTH_STOPPING_S || !job.heldOn.isEmpty()) {
-            return fetchS >= WORTH_STOPPING_S;
+        if (fetchS < WORTH_STOPPING_S) {
+            return false;
+        }
+        if (!job.heldOn.isEmpty()) {
+            return true;
         }
         Plan plan = plan(job, now);
         if (plan == null || plan.cost >= fetchS || plan.pieces.stream().allMatch(piece -> piece.victims.isEmpty())) {
@@ -144,10 +147,7 @@
 
     private Plan plan(Job job, double now) {
         boolean guaranteed = job.team.withinGuarantee(atOnce(job));
-        int tasks = job.spec.kind() == JobKind.ARRAY ? 1 : job.pending.cardinality();
-        while (tasks > 1 && !job.team.withinLimit(job.spec.perTask().times(tasks))) {
-            tasks--;
-        }
+        int tasks = job.spec.kind() == JobKind.ARRAY ? 1 : Math.max(1, job.team.tasksWithinLimit(job.spec.perTask(), job.pending.cardinality()));
         List<Piece> all = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
             if (m.takesWork(now) && !m.heldForOther(job, now) && Placing.allowed(job, m)) {
@@ -193,9 +193,6 @@
     /** The cheapest tasks whose end makes one task after the other fit here. */
     private static void pieces(Job job, Machine m, int most, boolean guaranteed, double now, List<Piece> into) {
         Resources need = job.spec.perTask();
-        if (!need.fitsIn(m.type.capacity())) {
-            return;
-        }
         Resources room = m.freeSoon();
         List<Placement> possible = List.of();
         if (!need.times(most).fitsIn(room)) {
@@ -217,7 +214,7 @@
                 Placement v = possible.get(next++);
                 victims.add(v);
                 room = room.plus(v.job.spec.perTask());
-                grace = Math.max(grace, v.job.spec.checkpoints() ? v.job.spec.saveS() : 0);
+                grace = Math.max(grace, v.job.spec.saveGraceS());
                 lost += STOP_S + LOST_WORK * v.workAtRisk(now);
             }
             if (!need.fitsIn(room)) {
--- a/src/main/java/io/kelphoist/core/ProgressRecords.java
+++ b/src/main/java/io/kelphoist/core/ProgressRecords.java
@@ -9,11 +9,21 @@
 /** Which tasks of unfinished jobs are done, on record at the state service before a worker may forget them. */
 final class ProgressRecords {
     /** Tasks per entry: a kilobyte of bits, so that no job is too large for a value. */
-    static final int PIECE = 8192;
+    private static final int PIECE = 8192;
     private static final int FRAME_BYTES = 16;
 
     /** A part of a job, with the number of the first of its tasks. */
-    private record Piece(Job job, int first) {
+    private static final class Piece {
+        final Job job;
+        final int first;
+        /** Done tasks as last sent, counted from the first. */
+        BitSet sent;
+
+        Piece(Job job, int first) {
+            this.job = job;
+            this.first = first;
+        }
+
         int bytes() {
             int tasks = Math.min(PIECE, job.spec.tasks() - first);
             return job.spec.id().length() + FRAME_BYTES + (tasks + 23) / 24 * 4;
@@ -23,7 +33,6 @@
     private final Pages<Piece> pages;
     private final Effects effects;
     private final Map<Job, List<Piece>> pieces = new HashMap<>();
-    private final Map<Integer, Map<Job, BitSet>> underWay = new HashMap<>();
 
     ProgressRecords(Policy policy, Effects effects) {
         this.effects = effects;
@@ -63,24 +72,16 @@
 
     void run(double now) {
         pages.run(now, piece -> true, (page, entries) -> {
-            Map<Job, BitSet> sent = new HashMap<>();
-            List<TaskProgress> all = new ArrayList<>();
-            for (Piece piece : entries) {
-                BitSet done = piece.job.done.get(piece.first, piece.first + PIECE);
-                all.add(new TaskProgress(piece.job.spec.id(), piece.first, done));
-                BitSet known = sent.computeIfAbsent(piece.job, j -> new BitSet());
-                done.stream().forEach(task -> known.set(piece.first + task));
-            }
-            underWay.put(page, sent);
-            effects.storeProgress(page, all);
+            entries.forEach(piece -> piece.sent = piece.job.done.get(piece.first, piece.first + PIECE));
+            effects.storeProgress(page, entries.stream().map(piece -> new TaskProgress(piece.job.spec.id(), piece.first, piece.sent)).toList());
         });
     }
 
     void stored(int page, boolean stored) {
-        pages.written(page, stored);
-        Map<Job, BitSet> sent = underWay.remove(page);
-        if (stored && sent != null) {
-            sent.forEach((job, done) -> job.storedDone.or(done));
+        for (Piece piece : pages.written(page, stored)) {
+            if (stored) {
+                piece.sent.stream().forEach(task -> piece.job.storedDone.set(piece.first + task));
+            }
         }
     }
 }
--- a/src/main/java/io/kelphoist/core/ServiceScheduler.java
+++ b/src/main/java/io/kelphoist/core/ServiceScheduler.java
@@ -16,7 +16,6 @@
         if (task < 0 || !job.team.withinLimit(job.spec.perTask())) {
             return false;
         }
-        cluster.considering(offer.machines());
         Machine m = Placing.best(offer, job);
         if (m == null || preemption.beats(Placing.fetchSeconds(job, m), job, offer.now()) && m.heldFor() != job) {
             return false;
--- a/src/main/java/io/kelphoist/core/StartRecords.java
+++ b/src/main/java/io/kelphoist/core/StartRecords.java
@@ -28,12 +28,12 @@
         pages.put(p);
     }
 
-    /** A worker showed what an earlier term started there: it is on record if {@code presumed} was. */
+    /** A worker showed what an earlier term started there: it is on record where {@code presumed} (null: nothing) is. */
     void adopt(Placement p, Placement presumed) {
-        if (presumed != null && pages.contains(presumed)) {
-            pages.replace(presumed, p);
-        } else {
+        if (presumed == null) {
             pages.put(p);
+        } else {
+            pages.replace(presumed, p);
         }
     }
 
--- a/src/main/java/io/kelphoist/core/TeamState.java
+++ b/src/main/java/io/kelphoist/core/TeamState.java
@@ -18,6 +18,15 @@
         return used.plus(held).plus(reserved).plus(more).fitsIn(team.limit());
     }
 
+    /** How many tasks of this size the limit leaves room for, {@code most} at the most. */
+    int tasksWithinLimit(Resources perTask, int most) {
+        int tasks = 0;
+        while (tasks < most && withinLimit(perTask.times(tasks + 1))) {
+            tasks++;
+        }
+        return tasks;
+    }
+
     boolean withinGuarantee(Resources more) {
         return used.plus(more).fitsIn(team.guarantee());
     }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -109,13 +109,13 @@
             }
         };
         state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, 4), loop,
-                settings.stateLimits().rps() * 0.45);
+                settings.stateLimits().rps() * 0.45, this::garbage);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
-        cloud = new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps());
+        cloud = new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage);
         workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1));
         Map<String, HttpCaller> callers = new HashMap<>();
         settings.peers().forEach(p -> callers.put(p.node(), caller(p.address(), HttpServing.JSON, 4)));
-        peers = new PeerCalls(callers);
+        peers = new PeerCalls(callers, this::garbage);
         leadership = new Leadership(settings.node(), settings.peers().stream().map(Settings.Peer::node).toList(), state, peers, loop,
                 operator.leaderLeaseMs(), operator.grantMs(), startedAt, this);
         routes = new Routes(settings.peers().stream().map(Settings.Peer::node).toList(), settings.workers().leaseS());
@@ -138,6 +138,12 @@
         return new HttpCaller(thread, buffers, address, type, most);
     }
 
+    /** An answer of an outside system or another controller that could not be understood. */
+    private void garbage(String what) {
+        counters.badMessages++;
+        LOG.warn("{}", what);
+    }
+
     private void guarded(Runnable task) {
         try {
             task.run();
@@ -477,11 +483,6 @@
         return leadership.election();
     }
 
-    /** Answers of outside systems and other controllers that could not be understood. */
-    long garbage() {
-        return state.garbage() + cloud.garbage() + peers.garbage();
-    }
-
     int writesWaiting() {
         return committer.waiting();
     }
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -21,7 +21,7 @@
         count("kelphoist.reports.relayed", "Reports relayed to the leader", c, x -> x.relayed);
         count("kelphoist.orders", "Direct orders sent to workers", c, x -> x.orders);
         count("kelphoist.orders.unanswered", "Direct orders that nobody answered", c, x -> x.unanswered);
-        count("kelphoist.messages.bad", "Messages and answers that could not be understood", c, x -> x.badMessages + controller.garbage());
+        count("kelphoist.messages.bad", "Messages and answers that could not be understood", c, x -> x.badMessages);
         count("kelphoist.errors.unexpected", "Errors that should not happen", c, x -> x.bugs);
         gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
         gauge("kelphoist.term", "Last term led here", x -> x.election().term());
--- a/src/main/java/io/kelphoist/peer/PeerCalls.java
+++ b/src/main/java/io/kelphoist/peer/PeerCalls.java
@@ -6,19 +6,18 @@
 import io.kelphoist.wire.HttpCaller;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Calls to the other controllers, by name. */
 public final class PeerCalls {
     /** A peer's answer. */
     public record PeerAnswer(int status, ObjectNode body) { }
 
-    private static final Logger LOG = LoggerFactory.getLogger(PeerCalls.class);
     private final Map<String, HttpCaller> peers;
-    private long garbage;
+    private final Consumer<String> garbage;
 
-    public PeerCalls(Map<String, HttpCaller> peers) {
+    /** @param garbage told of answers that can't be understood; each is treated as none */
+    public PeerCalls(Map<String, HttpCaller> peers, Consumer<String> garbage) {
+        this.garbage = garbage;
         this.peers = Map.copyOf(peers);
     }
 
@@ -26,11 +25,6 @@
         return peers.containsKey(peer);
     }
 
-    /** Answers that could not be understood; each was treated as none. */
-    public long garbage() {
-        return garbage;
-    }
-
     /** Null: no answer that can be used. */
     public void call(String peer, String path, ObjectNode body, int timeoutMs, Consumer<PeerAnswer> handler) {
         HttpCaller caller = peers.get(peer);
@@ -44,8 +38,7 @@
                 try {
                     answer = new PeerAnswer(a.status(), a.body().length == 0 ? Cbor.map() : Cbor.decodeJson(a.body()));
                 } catch (BadMessage e) {
-                    garbage++;
-                    LOG.warn("{} sent something {}", peer, e.getMessage());
+                    garbage.accept(peer + " sent something " + e.getMessage());
                 }
             }
             handler.accept(answer);
--- a/src/main/java/io/kelphoist/state/Records.java
+++ b/src/main/java/io/kelphoist/state/Records.java
@@ -67,7 +67,7 @@
         List<TaskProgress> all = new ArrayList<>();
         for (var fields = value.fields(); fields.hasNext();) {
             var e = fields.next();
-            TaskRef first = task(e.getKey());
+            TaskRef first = Codec.task(e.getKey());
             try {
                 all.add(new TaskProgress(first.job(), first.task(), BitSet.valueOf(Base64.getDecoder().decode(e.getValue().asText()))));
             } catch (IllegalArgumentException x) {
@@ -97,7 +97,7 @@
             JsonNode entry = e.getValue();
             for (int i = 3; i < entry.size(); i++) {
                 all.add(new StartedTask(e.getKey(), entry.path(0).asText(), entry.path(1).asText(), entry.path(2).asBoolean(),
-                        task(entry.path(i).asText())));
+                        Codec.task(entry.path(i).asText())));
             }
         }
         return all;
@@ -122,13 +122,4 @@
         });
         return all;
     }
-
-    private static TaskRef task(String name) throws BadMessage {
-        int slash = name.lastIndexOf('/');
-        try {
-            return new TaskRef(name.substring(0, slash), Integer.parseUnsignedInt(name.substring(slash + 1)));
-        } catch (RuntimeException e) {
-            throw new BadMessage(name + " is not a task");
-        }
-    }
 }
--- a/src/main/java/io/kelphoist/state/StateClient.java
+++ b/src/main/java/io/kelphoist/state/StateClient.java
@@ -11,8 +11,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The state service by its protocol. Requests count against its limits; renewals go first. */
 public final class StateClient {
@@ -35,7 +33,6 @@
         void after(double seconds, Runnable task);
     }
 
-    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
     private static final Result DOWN = new Refused(false);
     private static final Result BUSY = new Refused(true);
     private static final Result UNSURE = new Unsure();
@@ -47,11 +44,13 @@
     private final HttpCaller watches;
     private final Loop loop;
     private final RateGate requests;
+    private final Consumer<String> garbage;
     private double lastOk;
     private double failingSince = Double.NaN;
-    private long garbage;
 
-    public StateClient(HttpCaller calls, HttpCaller watches, Loop loop, double rps) {
+    /** @param garbage told of answers that can't be understood; each is treated as none */
+    public StateClient(HttpCaller calls, HttpCaller watches, Loop loop, double rps, Consumer<String> garbage) {
+        this.garbage = garbage;
         this.calls = calls;
         this.watches = watches;
         this.loop = loop;
@@ -64,11 +63,6 @@
         return Double.isNaN(failingSince) ? 0 : loop.now() - failingSince;
     }
 
-    /** Answers that could not be understood; each was treated as none. */
-    public long garbage() {
-        return garbage;
-    }
-
     public void get(String key, Consumer<Result> handler) {
         send("GET", "/kv/" + key, null, false, handler);
     }
@@ -168,8 +162,7 @@
                         failingSince = Double.NaN;
                         return new Done(a.status(), body);
                     } catch (BadMessage e) {
-                        garbage++;
-                        LOG.warn("the state service sent something {}", e.getMessage());
+                        garbage.accept("the state service sent something " + e.getMessage());
                         fail(now);
                         return UNSURE;
                     }
--- a/src/main/java/io/kelphoist/wire/Codec.java
+++ b/src/main/java/io/kelphoist/wire/Codec.java
@@ -14,6 +14,7 @@
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.Resources;
 import io.kelphoist.core.TaskPhase;
+import io.kelphoist.core.TaskRef;
 import io.kelphoist.core.TaskReport;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -112,18 +113,23 @@
                 Fields.has(m, "ebb_s") ? Double.valueOf(Fields.amount(m, "ebb_s")) : null, List.copyOf(tasks));
     }
 
-    private static TaskReport task(JsonNode t) throws BadMessage {
-        String name = Fields.text(t, "frond");
+    /** A task by its name: its job's, a slash and its number. */
+    public static TaskRef task(String name) throws BadMessage {
         int slash = name.lastIndexOf('/');
         int number;
         try {
             number = Integer.parseInt(name.substring(slash + 1));
         } catch (NumberFormatException e) {
-            throw new BadMessage("frond is not a task");
+            throw new BadMessage(name + " is not a task");
         }
         if (slash < 1 || number < 0) {
-            throw new BadMessage("frond is not a task");
+            throw new BadMessage(name + " is not a task");
         }
+        return new TaskRef(name.substring(0, slash), number);
+    }
+
+    private static TaskReport task(JsonNode t) throws BadMessage {
+        TaskRef ref = task(Fields.text(t, "frond"));
         TaskPhase phase = switch (Fields.text(t, "sway")) {
             case "pulling" -> TaskPhase.FETCHING;
             case "gathering" -> TaskPhase.WAITING;
@@ -143,7 +149,7 @@
             case "unknown" -> ExitReason.UNKNOWN;
             default -> throw new BadMessage("wreck is unknown");
         };
-        return new TaskReport(name.substring(0, slash), number, Fields.integer(t, "cast", 0, Long.MAX_VALUE), phase, exit,
+        return new TaskReport(ref.job(), ref.task(), Fields.integer(t, "cast", 0, Long.MAX_VALUE), phase, exit,
                 Fields.flagOr(t, "stored", false));
     }
 
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -121,11 +121,9 @@
 
     private static List<TaskRef> tasks(String names) {
         List<TaskRef> tasks = new ArrayList<>();
-        if (names != null) {
-            for (String name : names.split(",")) {
-                int slash = name.indexOf('/');
-                tasks.add(new TaskRef(name.substring(0, slash), Integer.parseInt(name.substring(slash + 1))));
-            }
+        for (String name : names.split(",")) {
+            int slash = name.indexOf('/');
+            tasks.add(new TaskRef(name.substring(0, slash), Integer.parseInt(name.substring(slash + 1))));
         }
         return tasks;
     }
