--- a/src/main/java/io/kelphoist/core/Pages.java
+++ b/src/main/java/io/kelphoist/core/Pages.java
@@ -1,9 +1,9 @@
 package io.kelphoist.core;
 
 import it.unimi.dsi.fastutil.objects.Reference2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -33,7 +33,7 @@
 
     private static final class Page<E> {
         final int number;
-        final Set<E> entries = new LinkedHashSet<>();
+        final Set<E> entries = new ReferenceLinkedOpenHashSet<>();
         int bytes;
         boolean dirty;
         boolean untidy;
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -1,64 +1,64 @@
 package io.kelphoist.daemon;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
-import io.kelphoist.core.Cluster;
-import io.kelphoist.core.Command;
-import io.kelphoist.core.Effects;
-import io.kelphoist.core.JobRecord;
-import io.kelphoist.core.JobStatus;
-import io.kelphoist.core.Machine;
-import io.kelphoist.core.MachineReport;
-import io.kelphoist.core.MachineType;
-import io.kelphoist.core.Placement;
-import io.kelphoist.core.Rental;
-import io.kelphoist.core.Resources;
-import io.kelphoist.core.TaskPhase;
-import io.kelphoist.core.TaskProgress;
-import io.kelphoist.core.TaskReport;
-import io.kelphoist.state.Keys;
-import io.kelphoist.state.Records;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
-import io.kelphoist.wire.Codec;
+import io.kelphoist.wire.HttpServing;
 import java.io.IOException;
+import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 
 /**
- * Runs a controller for a moment, on loopback and with itself in place of the outside systems, so that the build can
- * archive the classes that a start needs.
+ * Runs a controller for a moment on loopback, twice, so that the build can archive the classes that a start and a
+ * take-over need: made at run time, they cost a controller with a fifth of a core a second of its workers' leases.
  */
 final class WarmUp {
     private static final String JOB = """
-            {"name_id":"job-1","catch":"c","crew":"t","rig":"%s","tide":"normal","fronds":2,"cpus":1.0,"accelerators":1.0,"ram_gb":1.0,
-             "spore":"i","image_gb":1.0,"hulls":["m"],"bed":null,"same_place":false,"scatter":false,"driftwood":true,
-             "haul_s":1.0,"mooring_s":1.0,"stow_s":1.0,"landfall_s":9.0}""";
+            {"name_id":"%s","catch":"c","crew":"t","rig":"%s","tide":"%s","fronds":%d,"cpus":1.0,"accelerators":1.0,"ram_gb":1.0,
+             "spore":"%s","image_gb":1.0,"hulls":["m"],"bed":null,"same_place":false,"scatter":false,"driftwood":%b,
+             "haul_s":1.0,"mooring_s":%d,"stow_s":1.0,"landfall_s":%s}""";
+    private static final int ROUNDS = 8;
+    private static final long ROUND_MS = 250;
+    private static final int TIMEOUT_MS = 3000;
 
     private WarmUp() { }
 
     static void run() throws IOException {
+        int outside = freePort();
+        int own = freePort();
+        Rehearsal rehearsal = new Rehearsal(outside);
         try {
-            core();
-            serve();
-        } catch (BadMessage | Settings.Invalid | InterruptedException e) {
+            Settings settings = settings(own, freePort(), outside);
+            for (int term = 1; term <= 2; term++) {
+                Daemon daemon = Daemon.start(settings, OperatorSettings.DEFAULT, System.nanoTime() * 1e-9);
+                play("http://127.0.0.1:" + own, "http://" + settings.peerListen(), rehearsal, term);
+                daemon.stop();
+                rehearsal.endLease();
+            }
+        } catch (Settings.Invalid | InterruptedException e) {
             throw new IOException(e);
+        } finally {
+            rehearsal.stop();
         }
     }
 
-    private static Settings settings() throws IOException, Settings.Invalid {
-        String own = "127.0.0.1:" + freePort();
-        String peer = "127.0.0.1:" + freePort();
+    private static Settings settings(int own, int peer, int outside) throws IOException, Settings.Invalid {
         String json = """
-                {"label":"a","site":"z","serve_on":"%s","peer_listen":"%s","known":[{"label":"b","site":"z","peer_addr":"%s"}],
-                 "external":{"cloud":"%s","state":"%s"},
-                 "cluster":{"zones":["z"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":4,"gpus_max":8}],
+                {"label":"a","site":"z","serve_on":"127.0.0.1:%d","peer_listen":"127.0.0.1:%d",
+                 "known":[{"label":"b","site":"z","peer_addr":"127.0.0.1:%d"}],
+                 "external":{"cloud":"127.0.0.1:%d","state":"127.0.0.1:%d"},
+                 "cluster":{"zones":["z","y"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":8,"gpus_max":20},
+                   {"name":"u","cpus":0,"cpus_max":0,"gpus":8,"gpus_max":20}],
+                 "objectives":[{"kind":"wait","class":"c","within_s":5,"share":0.9},{"kind":"deadline","class":"c","times":1.0,"share":0.9}],
                  "workers":{"report_s":1,"lease_s":9,"gang_wait_s":9,"gang_peer_s":9,"cancel_s":9},
-                 "state":{"rps":100,"write_rps":100,"value_kb":4,"txn_ops":8},"cloud":{"rps":5,"list_lag_s":4}}}"""
-                .formatted(own, peer, peer, own, own);
+                 "state":{"rps":200,"write_rps":100,"value_kb":4,"txn_ops":8},"cloud":{"rps":9,"list_lag_s":4}}}"""
+                .formatted(own, peer, outside, outside, outside);
         Path file = Files.createTempFile("kelphoist", ".json");
         try {
             Files.writeString(file, json);
@@ -74,60 +74,57 @@
         }
     }
 
-    private static void serve() throws IOException, Settings.Invalid, InterruptedException {
-        Daemon daemon = Daemon.start(settings(), OperatorSettings.DEFAULT, System.nanoTime() * 1e-9);
-        Thread.sleep(1500);
-        daemon.stop();
+    private static void play(String users, String peers, Rehearsal rehearsal, int term) throws IOException, InterruptedException {
+        for (int round = 0; round < ROUNDS; round++) {
+            call(users + "/healthz", null, false);
+            submit(users, term, round);
+            call(users + "/work/job-1", null, false);
+            call(users + "/work/job-999", null, false);
+            for (ObjectNode report : rehearsal.reports()) {
+                ObjectNode answer = call(users + "/v1/report", report, false);
+                if (answer != null) {
+                    rehearsal.answered(report, answer);
+                }
+                call(peers + "/peer/report", report, true);
+            }
+            call(peers + "/peer/grant", Cbor.map().put("term", 0).put("from", "b").put("state_ok", true), true);
+            if (round == ROUNDS - 2) {
+                call(users + "/work/job-" + term + "5/cancel", Cbor.map(), false);
+            }
+            Thread.sleep(ROUND_MS);
+        }
     }
 
-    private static void core() throws BadMessage, IOException, Settings.Invalid {
-        MachineType type = new MachineType("m", new Resources(8, 8, 8), 10, 1, 1, 1, 1, List.of("z"));
-        Cluster cluster = new Cluster(OperatorSettings.DEFAULT.policy(settings()), new Silent(), 1,
-                Codec.types(Cbor.decode(Cbor.encode(Codec.types(List.of(type))))), 0);
-        int n = 0;
-        for (String kind : List.of("batch", "ensemble", "standing")) {
-            var spec = Codec.job(Cbor.decodeJson(JOB.formatted(kind).replace("job-1", "job-" + ++n).getBytes()));
-            var stored = Cbor.decode(Cbor.encode(Records.job(spec, 1)));
-            JobRecord record = Records.job(Keys.job(spec.id()), stored, n);
-            cluster.onJob(record, 0, 0);
+    /** More in each round, so that the later ones must make room. */
+    private static void submit(String users, int term, int round) throws IOException {
+        String id = "job-" + (term == 1 && round == 0 ? "1" : "" + term + round);
+        String job = switch (round) {
+            case 0, 3 -> JOB.formatted(id, "batch", "normal", 12, "i", true, 1, "9.0");
+            case 4 -> JOB.formatted(id, "ensemble", "high", 4, "k", false, 1, "null");
+            case 5 -> JOB.formatted(id, "standing", "critical", 3, "l", false, 0, "null");
+            case 6 -> JOB.formatted(id, "ensemble", "high", 2, "l", false, 0, "null");
+            default -> null;
+        };
+        if (job != null) {
+            call(users + "/work", Rehearsal.json(job), false);
         }
-        cluster.tick(1);
-        cluster.onRented(new Rental("r", "m", "z", false, 1), List.of("vm-1"), false, 1);
-        MachineReport report = new MachineReport("vm-1", "127.0.0.1:1", "m", "z", false, 1, 1, 1, null, List.of());
-        cluster.onReport(report, 2);
-        cluster.tick(3);
-        cluster.onStartsStored(0, true);
-        cluster.tick(3);
-        for (Command c : cluster.onReport(new MachineReport("vm-1", "127.0.0.1:1", "m", "z", false, 1, 2, 1, null, List.of()), 4)) {
-            Cbor.encode(Codec.answer(1, List.of(c)));
-            cluster.onReport(new MachineReport("vm-1", "127.0.0.1:1", "m", "z", false, 1, 3 + c.task(), 1, 9.0,
-                    List.of(new TaskReport(c.job(), c.task(), c.attempt(), TaskPhase.RUNNING, null, false))), 5);
-        }
-        cluster.onJob(new JobRecord("job-1", null, JobStatus.CANCELLED, 0, 99), 0, 6);
-        cluster.tick(7);
     }
 
-    /** Effects that go nowhere. */
-    private static final class Silent implements Effects {
-        @Override
-        public void orders(Machine machine, long session, List<Command> commands) { }
-
-        @Override
-        public void storeProgress(int page, List<TaskProgress> progress) { }
-
-        @Override
-        public void storeDone(String job, long version) { }
-
-        @Override
-        public void storeStarts(int page, List<Placement> starts) { }
-
-        @Override
-        public void storeImages(int page, List<Machine> machines) { }
-
-        @Override
-        public void rent(Rental rental) { }
-
-        @Override
-        public void giveBack(List<String> machines) { }
+    /** One call; null: no answer with a body. */
+    private static ObjectNode call(String address, ObjectNode body, boolean json) throws IOException {
+        HttpURLConnection c = (HttpURLConnection) URI.create(address).toURL().openConnection();
+        c.setConnectTimeout(TIMEOUT_MS);
+        c.setReadTimeout(TIMEOUT_MS);
+        if (body != null) {
+            c.setDoOutput(true);
+            c.setRequestProperty("Content-Type", json ? HttpServing.JSON : HttpServing.CBOR);
+            c.getOutputStream().write(json ? Cbor.encodeJson(body) : Cbor.encode(body));
+        }
+        try {
+            byte[] answer = c.getResponseCode() < 300 ? c.getInputStream().readAllBytes() : new byte[0];
+            return answer.length == 0 || body == null ? null : json ? Cbor.decodeJson(answer) : Cbor.decode(answer);
+        } catch (BadMessage e) {
+            throw new IOException(e);
+        }
     }
 }
--- a/src/main/java/io/kelphoist/state/Keys.java
+++ b/src/main/java/io/kelphoist/state/Keys.java
@@ -17,6 +17,9 @@
     /** Pages of what may be on machines. */
     public static final String STARTS = "s/";
 
+    /** Gives every page's number as many digits. */
+    private static final int FIRST_PAGE = 1_000_000;
+
     private Keys() { }
 
     public static String job(String id) {
@@ -25,7 +28,7 @@
 
     /** Pages sort by their numbers. */
     public static String page(String prefix, int number) {
-        return prefix + String.format("%06d", number);
+        return prefix + Integer.toString(FIRST_PAGE + number).substring(1);
     }
 
     public static int page(String prefix, String key) throws BadMessage {
