--- /dev/null
+++ b/src/main/java/io/kelphoist/api/JobLookup.java
@@ -0,0 +1,165 @@
+package io.kelphoist.api;
+
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.Records;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.BadMessage;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What is stored of jobs, read when it is asked for. Where an answer may be a little old, look-ups are shared. */
+final class JobLookup {
+    sealed interface Found { }
+
+    record Known(JobRecord record) implements Found { }
+
+    record Absent() implements Found { }
+
+    /** It can't be read now. */
+    record Unavailable() implements Found { }
+
+    /** What became of the jobs that one needs, directly or through others. */
+    enum Ancestry {
+        /** None was cancelled, as far as was looked. */
+        INTACT, CANCELLED, UNAVAILABLE
+    }
+
+    private record Seen(JobRecord record, double at) { }
+
+    private static final Logger LOG = LoggerFactory.getLogger(JobLookup.class);
+    private static final int MOST_KEPT = 4000;
+    /** So many jobs are looked at for one answer; the leader follows longer chains. */
+    private static final int MOST_ANCESTORS = 64;
+
+    private final StateClient state;
+    private final StateClient.Loop loop;
+    private final double recentS;
+    /** Final states that were read: they never change, so they can be said even without the state service. */
+    private final Cache<String, JobStatus> finals = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
+    private final Cache<String, Seen> active = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
+    private final Map<String, List<Consumer<Found>>> asked = new HashMap<>();
+
+    /** @param recentS how old a recent answer may be */
+    JobLookup(StateClient state, StateClient.Loop loop, double recentS) {
+        this.state = state;
+        this.loop = loop;
+        this.recentS = recentS;
+    }
+
+    /** What is stored now. */
+    void read(String id, Consumer<Found> handler) {
+        JobStatus known = finals.getIfPresent(id);
+        if (known != null) {
+            handler.accept(new Known(new JobRecord(id, null, known, 0, 0)));
+            return;
+        }
+        state.get(Keys.job(id), result -> {
+            Found found = new Unavailable();
+            if (result instanceof StateClient.Done d && d.status() == 404) {
+                found = new Absent();
+            } else if (result instanceof StateClient.Done d && d.status() == 200) {
+                try {
+                    JobRecord record = Records.job(Keys.job(id), d.body().path("value"), d.body().path("entry").asLong());
+                    stored(record);
+                    found = new Known(record);
+                } catch (BadMessage e) {
+                    LOG.error("record of {}: {}", id, e.getMessage());
+                }
+            }
+            handler.accept(found);
+        });
+    }
+
+    /** What was stored a moment ago: a job that ran may have ended since. */
+    void recent(String id, Consumer<Found> handler) {
+        Seen seen = active.getIfPresent(id);
+        if (seen != null && loop.now() - seen.at <= recentS && finals.getIfPresent(id) == null) {
+            handler.accept(new Known(seen.record));
+            return;
+        }
+        List<Consumer<Found>> waiting = asked.get(id);
+        if (waiting != null) {
+            waiting.add(handler);
+            return;
+        }
+        asked.put(id, new ArrayList<>(List.of(handler)));
+        read(id, found -> asked.remove(id).forEach(h -> h.accept(found)));
+    }
+
+    /** A job's record was read or written here. */
+    void stored(JobRecord record) {
+        if (record.status().isFinal()) {
+            finals.put(record.id(), record.status());
+            active.invalidate(record.id());
+        } else {
+            active.put(record.id(), new Seen(record, loop.now()));
+        }
+    }
+
+    /** All of them, in their order. */
+    void recent(List<String> ids, Consumer<List<Found>> handler) {
+        Found[] found = new Found[ids.size()];
+        int[] left = {ids.size()};
+        for (int i = 0; i < found.length; i++) {
+            int at = i;
+            recent(ids.get(i), f -> {
+                found[at] = f;
+                if (--left[0] == 0) {
+                    handler.accept(List.of(found));
+                }
+            });
+        }
+    }
+
+    /**
+     * Whether a job must be cancelled with one that it needs. The leader sees to that; this is for when there is none,
+     * or it was cut off: nobody calls a job queued long after its user was told that it can't run any more.
+     */
+    void ancestry(List<String> needs, Consumer<Ancestry> handler) {
+        new Walk(needs, handler).go();
+    }
+
+    private final class Walk {
+        private final Deque<String> left;
+        private final Set<String> seen;
+        private final Consumer<Ancestry> handler;
+
+        Walk(List<String> needs, Consumer<Ancestry> handler) {
+            this.left = new ArrayDeque<>(needs);
+            this.seen = new HashSet<>(needs);
+            this.handler = handler;
+        }
+
+        void go() {
+            if (left.isEmpty()) {
+                handler.accept(Ancestry.INTACT);
+                return;
+            }
+            recent(left.poll(), found -> {
+                if (found instanceof Unavailable) {
+                    handler.accept(Ancestry.UNAVAILABLE);
+                } else if (found instanceof Known k && k.record().status() == JobStatus.CANCELLED) {
+                    handler.accept(Ancestry.CANCELLED);
+                } else {
+                    if (found instanceof Known k && k.record().status() == JobStatus.ACTIVE && seen.size() < MOST_ANCESTORS) {
+                        k.record().spec().needs().stream().filter(seen::add).forEach(left::add);
+                    }
+                    go();
+                }
+            });
+        }
+    }
+}
--- a/src/main/java/io/kelphoist/api/UserApi.java
+++ b/src/main/java/io/kelphoist/api/UserApi.java
@@ -1,8 +1,6 @@
 package io.kelphoist.api;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.cache.Cache;
-import com.google.common.cache.CacheBuilder;
 import io.kelphoist.core.JobKind;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobSpec;
@@ -23,7 +21,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,8 +45,13 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
     private static final double ACCEPT_S = 3.0;
-    private static final int MOST_FINALS = 4000;
-    private final StateClient state;
+    /** Of a key and its conditions in a transaction. */
+    private static final int KEY_BYTES = 200;
+    /** A look at what a job waits for may be so old, as a share of the time that a cancellation has. */
+    private static final double RECENT = 0.25;
+    /** Kept free in a value, for what a job's end adds to it. */
+    private static final int SPARE_BYTES = 256;
+    private final JobLookup lookup;
     private final Committer committer;
     private final StateClient.Loop loop;
     private final LongSupplier wallMs;
@@ -57,35 +59,28 @@
     private final Map<String, Team> teams = new HashMap<>();
     private final List<String> zones;
     private final int mostValueBytes;
-    /** Final states that were read: they never change, so they can be said even without the state service. */
-    private final Cache<String, JobStatus> finals = CacheBuilder.newBuilder().maximumSize(MOST_FINALS).concurrencyLevel(1).build();
 
     public UserApi(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, Knowledge knowledge,
-                   List<Team> teams, List<String> zones, double valueKb) {
-        this.state = state;
+                   List<Team> teams, List<String> zones, double valueKb, double cancelS) {
+        this.lookup = new JobLookup(state, loop, RECENT * cancelS);
         this.committer = committer;
         this.loop = loop;
         this.wallMs = wallMs;
         this.knowledge = knowledge;
         teams.forEach(t -> this.teams.put(t.name(), t));
         this.zones = zones;
-        this.mostValueBytes = (int) (valueKb * 1024) - 256;
+        this.mostValueBytes = (int) (valueKb * 1024) - SPARE_BYTES;
     }
 
     // ---- submit ----
 
     public void submit(HttpServerExchange exchange, byte[] body) {
         JobSpec job;
-        ObjectNode record;
         try {
             job = Codec.job(Cbor.decode(body));
-            record = Records.job(job, wallMs.getAsLong());
-            if (Cbor.encodeJson(record).length > mostValueBytes) {
-                throw new BadMessage("description is too large to be stored");
-            }
         } catch (BadMessage e) {
             LOG.debug("submission refused: {}", e.getMessage());
-            HttpServing.status(exchange, 400);
+            HttpServing.refuse(exchange, 400, e.getMessage());
             return;
         }
         if (knowledge.types().isEmpty()) {
@@ -94,35 +89,74 @@
         }
         String never = whyNever(job);
         if (never != null) {
-            refuseUnlessKnown(exchange, job, never);
+            refuseUnlessKnown(exchange, job, 422, never);
+        } else if (job.needs().isEmpty()) {
+            accept(exchange, job, false);
+        } else {
+            lookup.recent(job.needs(), found -> acceptAfter(exchange, job, found));
+        }
+    }
+
+    /** Accepts a job that needs others. Whatever is wrong with these: a job that is known already keeps its answer. */
+    private void acceptAfter(HttpServerExchange exchange, JobSpec job, List<JobLookup.Found> needs) {
+        boolean cancelled = false;
+        boolean unsure = false;
+        for (int i = 0; i < needs.size(); i++) {
+            String need = job.needs().get(i);
+            if (needs.get(i) instanceof JobLookup.Absent) {
+                refuseUnlessKnown(exchange, job, 422, "it needs " + need + ", which was never accepted");
+                return;
+            } else if (needs.get(i) instanceof JobLookup.Known k) {
+                JobRecord record = k.record();
+                if (record.spec() != null && record.spec().kind() == JobKind.SERVICE) {
+                    refuseUnlessKnown(exchange, job, 422, "it needs " + need + ", a service");
+                    return;
+                }
+                cancelled |= record.status() == JobStatus.CANCELLED;
+            } else {
+                unsure = true;
+            }
+        }
+        if (unsure) {
+            refuseUnlessKnown(exchange, job, 503, "what it needs can't be looked up");
+        } else {
+            accept(exchange, job, cancelled);
+        }
+    }
+
+    /** @param cancelled a job that it needs was cancelled: it is accepted all the same, and never runs */
+    private void accept(HttpServerExchange exchange, JobSpec job, boolean cancelled) {
+        JobRecord accepted = new JobRecord(job.id(), job, cancelled ? JobStatus.CANCELLED : JobStatus.ACTIVE, wallMs.getAsLong(), 0);
+        ObjectNode record = cancelled ? Records.cancelled(accepted, mostValueBytes) : Records.job(job, accepted.atMs());
+        int bytes = Cbor.encodeJson(record).length;
+        if (bytes > mostValueBytes) {
+            refuseUnlessKnown(exchange, job, 400, "its description is too large to be stored");
             return;
         }
         committer.submit(new Committer.Write(List.of(new StateClient.Condition(Keys.job(job.id()), 0)),
-                List.of(new StateClient.Change(Keys.job(job.id()), record, 0)), body.length + 400, loop.now() + ACCEPT_S, false,
+                List.of(new StateClient.Change(Keys.job(job.id()), record, 0)), bytes + KEY_BYTES, loop.now() + ACCEPT_S, true, false,
                 (outcome, revision) -> {
                     switch (outcome) {
-                        case STORED -> HttpServing.cbor(exchange, 201, Codec.accepted(job.id(), "queued"));
+                        case STORED -> {
+                            lookup.stored(new JobRecord(job.id(), job, accepted.status(), accepted.atMs(), revision));
+                            HttpServing.cbor(exchange, 201, Codec.accepted(job.id(), cancelled ? "aborted" : "queued"));
+                        }
                         // Known already, or unsure: what is stored decides.
-                        case CONFLICT, UNSURE -> read(job.id(), found -> {
-                            if (found instanceof Known k) {
-                                answer(exchange, k.record());
-                            } else {
-                                HttpServing.retryLater(exchange, 1);
-                            }
-                        });
+                        case CONFLICT, UNSURE -> refuseUnlessKnown(exchange, job, 503, "it is not known whether it is stored");
+                        case TOO_LARGE -> refuseUnlessKnown(exchange, job, 400, "its description is too large to be stored");
                         case REFUSED -> HttpServing.retryLater(exchange, 1);
                     }
                 }));
     }
 
     /** An accepted job keeps its answer, even if it could not be accepted today. */
-    private void refuseUnlessKnown(HttpServerExchange exchange, JobSpec job, String why) {
-        read(job.id(), found -> {
-            if (found instanceof Known k) {
+    private void refuseUnlessKnown(HttpServerExchange exchange, JobSpec job, int status, String why) {
+        lookup.read(job.id(), found -> {
+            if (found instanceof JobLookup.Known k) {
                 answer(exchange, k.record());
-            } else if (found instanceof Absent) {
-                LOG.info("job {} can never run: {}", job.id(), why);
-                HttpServing.status(exchange, 422);
+            } else if (found instanceof JobLookup.Absent && status != 503) {
+                LOG.info("job {} is refused: {}", job.id(), why);
+                HttpServing.refuse(exchange, status, why);
             } else {
                 HttpServing.retryLater(exchange, 1);
             }
@@ -160,10 +194,10 @@
             HttpServing.status(exchange, 404);
             return;
         }
-        read(id, found -> {
-            if (found instanceof Known k) {
+        lookup.read(id, found -> {
+            if (found instanceof JobLookup.Known k) {
                 answer(exchange, k.record());
-            } else if (found instanceof Absent) {
+            } else if (found instanceof JobLookup.Absent) {
                 HttpServing.status(exchange, 404);
             } else {
                 HttpServing.retryLater(exchange, 1);
@@ -171,7 +205,42 @@
         });
     }
 
+    /** The state of a job; of one that waits, only after a look at what it waits for. */
     private void answer(HttpServerExchange exchange, JobRecord record) {
+        boolean waits = record.status() == JobStatus.ACTIVE && !record.spec().needs().isEmpty() && knowledge.counts(record.id()) == null;
+        if (!waits) {
+            say(exchange, record);
+            return;
+        }
+        boolean[] atOnce = {true};
+        lookup.ancestry(record.spec().needs(), ancestry -> {
+            switch (ancestry) {
+                case INTACT -> {
+                    if (atOnce[0]) {
+                        say(exchange, record);
+                    } else {
+                        sayAnew(exchange, record.id());
+                    }
+                }
+                case CANCELLED -> cancel(exchange, record, 3);
+                case UNAVAILABLE -> HttpServing.retryLater(exchange, 1);
+            }
+        });
+        atOnce[0] = false;
+    }
+
+    /** Looking round took a while, and what was read before may be old by now. */
+    private void sayAnew(HttpServerExchange exchange, String id) {
+        lookup.read(id, found -> {
+            if (found instanceof JobLookup.Known k) {
+                say(exchange, k.record());
+            } else {
+                HttpServing.retryLater(exchange, 1);
+            }
+        });
+    }
+
+    private void say(HttpServerExchange exchange, JobRecord record) {
         Counts counts = record.status() == JobStatus.ACTIVE ? knowledge.counts(record.id()) : Counts.NONE;
         String word = switch (record.status()) {
             case DONE -> "done";
@@ -193,65 +262,41 @@
     }
 
     private void cancel(HttpServerExchange exchange, String id, int tries) {
-        read(id, found -> {
-            if (found instanceof Absent) {
+        lookup.read(id, found -> {
+            if (found instanceof JobLookup.Absent) {
                 HttpServing.status(exchange, 404);
-            } else if (!(found instanceof Known k)) {
-                HttpServing.retryLater(exchange, 1);
-            } else if (k.record().status().isFinal()) {
-                answer(exchange, k.record());
+            } else if (found instanceof JobLookup.Known k) {
+                cancel(exchange, k.record(), tries);
             } else {
-                committer.submit(new Committer.Write(List.of(new StateClient.Condition(Keys.job(id), k.record().version())),
-                        List.of(new StateClient.Change(Keys.job(id), Records.cancelled(k.record()), 0)), 1000,
-                        loop.now() + ACCEPT_S, false, (outcome, revision) -> {
-                            switch (outcome) {
-                                case STORED -> HttpServing.cbor(exchange, 200, Codec.accepted(id, "aborted"));
-                                case CONFLICT, UNSURE -> {
-                                    if (tries > 1) {
-                                        cancel(exchange, id, tries - 1);
-                                    } else {
-                                        HttpServing.retryLater(exchange, 1);
-                                    }
-                                }
-                                case REFUSED -> HttpServing.retryLater(exchange, 1);
-                            }
-                        }));
+                HttpServing.retryLater(exchange, 1);
             }
         });
     }
 
-    // ---- what is stored ----
-
-    private sealed interface Found { }
-
-    private record Known(JobRecord record) implements Found { }
-
-    private record Absent() implements Found { }
-
-    private record Unavailable() implements Found { }
-
-    private void read(String id, Consumer<Found> handler) {
-        JobStatus known = finals.getIfPresent(id);
-        if (known != null) {
-            handler.accept(new Known(new JobRecord(id, null, known, 0, 0)));
+    /** Nothing is called cancelled before that is stored, so that no controller says anything older afterwards. */
+    private void cancel(HttpServerExchange exchange, JobRecord job, int tries) {
+        if (job.status().isFinal()) {
+            say(exchange, job);
             return;
         }
-        state.get(Keys.job(id), result -> {
-            Found found = new Unavailable();
-            if (result instanceof StateClient.Done d && d.status() == 404) {
-                found = new Absent();
-            } else if (result instanceof StateClient.Done d && d.status() == 200) {
-                try {
-                    JobRecord record = Records.job(Keys.job(id), d.body().path("value"), d.body().path("entry").asLong());
-                    if (record.status().isFinal()) {
-                        finals.put(id, record.status());
+        ObjectNode record = Records.cancelled(job, mostValueBytes);
+        committer.submit(new Committer.Write(List.of(new StateClient.Condition(Keys.job(job.id()), job.version())),
+                List.of(new StateClient.Change(Keys.job(job.id()), record, 0)), Cbor.encodeJson(record).length + KEY_BYTES,
+                loop.now() + ACCEPT_S, true, false, (outcome, revision) -> {
+                    switch (outcome) {
+                        case STORED -> {
+                            lookup.stored(new JobRecord(job.id(), job.spec(), JobStatus.CANCELLED, job.atMs(), revision));
+                            HttpServing.cbor(exchange, 200, Codec.accepted(job.id(), "aborted"));
+                        }
+                        case CONFLICT, UNSURE -> {
+                            if (tries > 1) {
+                                cancel(exchange, job.id(), tries - 1);
+                            } else {
+                                HttpServing.retryLater(exchange, 1);
+                            }
+                        }
+                        case REFUSED, TOO_LARGE -> HttpServing.retryLater(exchange, 1);
                     }
-                    found = new Known(record);
-                } catch (BadMessage e) {
-                    LOG.error("record of {}: {}", id, e.getMessage());
-                }
-            }
-            handler.accept(found);
-        });
+                }));
     }
 }
--- a/src/main/java/io/kelphoist/config/Settings.java
+++ b/src/main/java/io/kelphoist/config/Settings.java
@@ -24,6 +24,7 @@
 
     public record Workers(double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) { }
 
+    /** What holds now and after the limits have changed. */
     public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) { }
 
     public record CloudLimits(double rps, double listLagS) { }
@@ -97,12 +98,27 @@
                     new Workers(positive(w, "report_s", "cluster.workers."), positive(w, "lease_s", "cluster.workers."),
                             positive(w, "gang_wait_s", "cluster.workers."), positive(w, "gang_peer_s", "cluster.workers."),
                             positive(w, "cancel_s", "cluster.workers.")),
-                    new StateLimits(positive(s, "rps", "cluster.state."), positive(s, "write_rps", "cluster.state."),
-                            positive(s, "value_kb", "cluster.state."), (int) Math.max(1, positive(s, "txn_ops", "cluster.state."))),
+                    stateLimits(s),
                     new CloudLimits(positive(c, "rps", "cluster.cloud."), positive(c, "list_lag_s", "cluster.cloud.")),
                     startWithin(cluster));
         }
 
+        /**
+         * The smaller ones of the limits of now and of those that will hold from some moment on: nobody says when, and
+         * what is written by then must not be too large to be written again.
+         */
+        private StateLimits stateLimits(JsonNode s) throws Invalid {
+            String at = "cluster.state.";
+            JsonNode next = s.hasNonNull("next") ? map(s, "next", at) : s;
+            return new StateLimits(smaller(s, next, "rps"), smaller(s, next, "write_rps"), smaller(s, next, "value_kb"),
+                    (int) Math.max(1, smaller(s, next, "txn_ops")));
+        }
+
+        private double smaller(JsonNode s, JsonNode next, String name) throws Invalid {
+            double now = positive(s, name, "cluster.state.");
+            return next.hasNonNull(name) ? Math.min(now, positive(next, name, "cluster.state.next.")) : now;
+        }
+
         /** The shortest time in which tasks of a class are expected to start. */
         private Map<String, Double> startWithin(JsonNode cluster) throws Invalid {
             Map<String, Double> within = new HashMap<>();
--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -18,9 +18,9 @@
     /** Starts per run; what is left over goes on in the next one, so that one run never takes long. */
     private static final int MOST_STARTS = 200;
     static final Comparator<Job> TEAM_ORDER = Comparator
-            .comparing((Job j) -> j.spec.priority()).reversed()
-            .thenComparingDouble(Job::deadline)
-            .thenComparingDouble(j -> j.acceptedAt);
+            .comparing(Job::priority).reversed()
+            .thenComparingDouble(Job::latestFinish)
+            .thenComparingDouble(j -> j.readyAt);
 
     private final Cluster cluster;
     private final GangScheduler gangs;
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -1,5 +1,6 @@
 package io.kelphoist.core;
 
+import com.google.common.base.Preconditions;
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
@@ -50,6 +51,7 @@
     private final StartRecords starts;
     private final ProgressRecords progress;
     private final ImageRecords cached;
+    private final Dependencies dependencies;
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
@@ -70,6 +72,7 @@
         starts = new StartRecords(policy, zones, effects);
         progress = new ProgressRecords(policy, effects);
         cached = new ImageRecords(policy, images, effects);
+        dependencies = new Dependencies(jobs, effects);
         allocator = new Allocator(this);
         fleet = new Fleet(this);
     }
@@ -128,6 +131,9 @@
     public void onJob(JobRecord record, double ageS, double now) {
         Job job = jobs.get(record.id());
         if (job == null) {
+            if (record.status().isFinal()) {
+                dependencies.ended(record.id(), record.status() == JobStatus.DONE, now - ageS, now);
+            }
             if (record.status() == JobStatus.DONE || record.spec() == null || record.status().isFinal() && !loading) {
                 return;
             }
@@ -136,17 +142,22 @@
                 LOG.warn("job {}: its team {} is not in the settings any more", record.id(), record.spec().team());
                 return;
             }
-            job = new Job(record.spec(), team, image(record.spec().image(), record.spec().imageGb()), zones, now - ageS, record.version(), now);
+            job = new Job(record, team, image(record.spec().image(), record.spec().imageGb()), zones, now - ageS, now);
+            jobs.put(record.id(), job);
             if (record.status() == JobStatus.CANCELLED) {
                 job.to(Job.State.CANCELLED);
+            } else {
+                dependencies.added(job, now);
             }
-            jobs.put(record.id(), job);
             return;
         }
         if (record.version() < job.version) {
             return;
         }
         job.version = record.version();
+        if (record.status().isFinal()) {
+            dependencies.ended(record.id(), record.status() == JobStatus.DONE, now - ageS, now);
+        }
         if (record.status() == JobStatus.CANCELLED && job.to(Job.State.CANCELLED)) {
             LOG.info("job {} cancelled, {} tasks to stop", job.spec.id(), job.at.size());
             for (Placement p : new ArrayList<>(job.at.values())) {
@@ -178,18 +189,24 @@
     }
 
     /** The outcome of {@link Effects#storeProgress}. */
-    public void onProgressStored(int page, boolean stored) {
-        progress.stored(page, stored);
+    public void onProgressStored(int page, PageOutcome outcome) {
+        progress.stored(page, outcome);
     }
 
-    /** The outcome of {@link Effects#storeDone}, unless it is stored: it is unsure, and written again. */
-    public void onDoneNotStored(String id) {
+    /** The outcome of {@link Effects#storeDone} or {@link Effects#storeCancelled}, unless it is stored: it is written again. */
+    public void onEndNotStored(String id) {
         Job job = jobs.get(id);
-        if (job != null) {
+        if (job != null && job.storing) {
             job.storing = false;
+            dependencies.notStored(job);
         }
     }
 
+    /** The outcome of {@link Effects#lookUp} where there is no record that can be read. */
+    public void onJobAbsent(String id, double now) {
+        dependencies.absent(id, now);
+    }
+
     /**
      * All that was stored is read. Of the cancelled jobs only those matter whose tasks may still be somewhere: they
      * count until they are gone.
@@ -223,8 +240,8 @@
     }
 
     /** The outcome of {@link Effects#storeImages}. */
-    public void onImagesStored(int page, boolean stored) {
-        cached.stored(page, stored);
+    public void onImagesStored(int page, PageOutcome outcome) {
+        cached.stored(page, outcome);
     }
 
     public MachineImages imagesOn(Machine m) {
@@ -257,8 +274,8 @@
     }
 
     /** The outcome of {@link Effects#storeStarts}. */
-    public void onStartsStored(int page, boolean stored) {
-        starts.stored(page, stored);
+    public void onStartsStored(int page, PageOutcome outcome) {
+        starts.stored(page, outcome);
     }
 
     /**
@@ -466,7 +483,7 @@
             if (other != null) {
                 job.elsewhere--;
                 job.at.put(p.task, other);
-            } else if (job.active() && !job.done.get(p.task)) {
+            } else if (job.open() && !job.done.get(p.task)) {
                 if (job.pending.isEmpty()) {
                     job.waitingSince = now;
                 }
@@ -613,9 +630,9 @@
         }
         Job job = p.job;
         return switch (job.state()) {
-            case DONE, CANCELLED -> true;
+            case DONE, CANCELLING, CANCELLED -> true;
             case FINISHING -> false;
-            case ACTIVE -> job.storedDone.get(p.task);
+            case WAITING, ACTIVE -> job.storedDone.get(p.task);
         };
     }
 
@@ -655,8 +672,9 @@
 
     // ---- orders ----
 
-    /** Starts a task. Everything counts from here on; the order goes out once it is on record. */
+    /** Starts a task, of a job that is ready. Everything counts from here on; the order goes out once it is on record. */
     void start(Job job, int task, Machine m, long attempt, double now) {
+        Preconditions.checkState(job.active(), "%s may not start anything, it is %s", job.spec.id(), job.state());
         Placement p = new Placement(job, task, attempt, m, m.session, now);
         m.placements.add(p);
         count(p);
@@ -811,6 +829,7 @@
             allocator.run(now);
             fleet.run(allocator.unplaced(), now);
         }
+        dependencies.run(now);
         progress.run(now);
         starts.run(now);
         cached.run(now);
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -10,9 +10,15 @@
     /** Stores a page of done tasks; outcome: {@link Cluster#onProgressStored}. */
     void storeProgress(int page, List<TaskProgress> progress);
 
-    /** Stores that a job is done; outcome: {@link Cluster#onJob}, or {@link Cluster#onDoneNotStored}. */
+    /** Stores that a job is done; outcome: {@link Cluster#onJob}, or {@link Cluster#onEndNotStored}. */
     void storeDone(String job, long version);
 
+    /** Stores that a job is cancelled with one that it needs; outcome as of {@link #storeDone}. */
+    void storeCancelled(JobRecord job);
+
+    /** Reads a job's record; outcome: {@link Cluster#onJob}, or {@link Cluster#onJobAbsent}; if it could not be read, none. */
+    void lookUp(String job);
+
     /** Stores a page of what may be on machines; outcome: {@link Cluster#onStartsStored}. */
     void storeStarts(int page, List<Placement> starts);
 
--- a/src/main/java/io/kelphoist/core/ImageRecords.java
+++ b/src/main/java/io/kelphoist/core/ImageRecords.java
@@ -51,7 +51,7 @@
         pages.run(now, m -> true, effects::storeImages);
     }
 
-    void stored(int page, boolean stored) {
-        pages.written(page, stored);
+    void stored(int page, PageOutcome outcome) {
+        pages.written(page, outcome);
     }
 }
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -9,17 +9,31 @@
 public final class Job {
     /** Named states; {@link #to} is the one place where they change. */
     public enum State {
+        /** For jobs that it needs and that are not stored done yet: it gets no room. */
+        WAITING,
+        /** All that it needs is stored done. */
         ACTIVE,
         /** All its tasks are done; the state service has not confirmed that yet. */
-        FINISHING, DONE, CANCELLED
+        FINISHING,
+        /** A job that it needs is cancelled; the state service has not confirmed yet that so is this one. */
+        CANCELLING, DONE, CANCELLED
     }
 
     public final JobSpec spec;
     final TeamState team;
     final int image;
     final double acceptedAt;
+    /** As it was accepted. */
+    final JobRecord record;
+    /** When the last job that it needs was done; where it needs none, when it was accepted. */
+    double readyAt;
+    /** Jobs that it needs and that are not done. */
+    int openNeeds;
+    /** Highest and earliest of its own and of what needs it, see {@link Dependencies}. */
+    private Priority priority;
+    private double latestFinish;
     long version;
-    private State state = State.ACTIVE;
+    private State state = State.WAITING;
     final BitSet done = new BitSet();
     final BitSet pending = new BitSet();
     /** Done tasks that are on record. */
@@ -50,8 +64,9 @@
     double machineFilterUntil;
     int running;
 
-    Job(JobSpec spec, TeamState team, int image, Index zones, double acceptedAt, long version, double now) {
-        this.spec = spec;
+    Job(JobRecord record, TeamState team, int image, Index zones, double acceptedAt, double now) {
+        this.record = record;
+        this.spec = record.spec();
         this.team = team;
         this.image = image;
         this.perZone = new int[zones.size()];
@@ -60,7 +75,9 @@
             zoneAllowed[z] = spec.zone() == null || spec.zone().equals(zones.name(z));
         }
         this.acceptedAt = acceptedAt;
-        this.version = version;
+        this.readyAt = acceptedAt;
+        this.version = record.version();
+        inheritNothing();
         this.waitingSince = now;
         pending.set(0, spec.tasks());
     }
@@ -69,22 +86,29 @@
         return state;
     }
 
-    /** The one function for every change of state. DONE and CANCELLED are final. */
+    /** The one function for every change of state. DONE and CANCELLED are final, and what is being cancelled gets there. */
     boolean to(State next) {
-        if (state == next || state == State.DONE || state == State.CANCELLED) {
+        boolean over = state == State.DONE || state == State.CANCELLED || state == State.CANCELLING && next == State.ACTIVE;
+        if (state == next || over) {
             return false;
         }
         state = next;
-        if (next != State.ACTIVE) {
+        if (!open()) {
             pending.clear();
         }
         return true;
     }
 
+    /** It may start tasks. */
     boolean active() {
         return state == State.ACTIVE;
     }
 
+    /** It has, or will have, tasks to run. */
+    boolean open() {
+        return state == State.ACTIVE || state == State.WAITING;
+    }
+
     public int doneCount() {
         return done.cardinality();
     }
@@ -98,9 +122,30 @@
         return errorMachines >= 3;
     }
 
-    /** Time by which it should be complete, on the core's clock. */
-    double deadline() {
-        return spec.deadlineS() == null ? Double.POSITIVE_INFINITY : acceptedAt + spec.deadlineS();
+    /** Its own, or that of a job that needs it. */
+    Priority priority() {
+        return priority;
+    }
+
+    /** Time by which it should be complete, on the core's clock, for itself and for what needs it. */
+    double latestFinish() {
+        return latestFinish;
+    }
+
+    /** Takes over how urgent a job is that needs this one; true if that changed anything. */
+    boolean inherit(Job dependent) {
+        Priority was = priority;
+        double before = latestFinish;
+        if (dependent.priority.compareTo(priority) > 0) {
+            priority = dependent.priority;
+        }
+        latestFinish = Math.min(latestFinish, dependent.latestFinish - dependent.spec.estimateS());
+        return priority != was || latestFinish != before;
+    }
+
+    void inheritNothing() {
+        priority = spec.priority();
+        latestFinish = spec.deadlineS() == null ? Double.POSITIVE_INFINITY : acceptedAt + spec.deadlineS();
     }
 
     /** The zone its tasks are in, if all must share one; -1: still free to choose. */
--- a/src/main/java/io/kelphoist/core/JobSpec.java
+++ b/src/main/java/io/kelphoist/core/JobSpec.java
@@ -1,5 +1,6 @@
 package io.kelphoist.core;
 
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -8,11 +9,15 @@
  * @param types allowed machine types; null: any
  * @param zone the only allowed zone; null: any
  * @param deadlineS wanted completion, from submission; null: none
+ * @param needs jobs that must be done before any task of this one starts, each once
  */
 public record JobSpec(
         String id, String jobClass, String team, JobKind kind, Priority priority, int tasks, Resources perTask,
         Set<String> types, String zone, boolean oneZone, boolean spread, boolean spotAllowed,
-        String image, double imageGb, double estimateS, double checkpointS, double saveS, Double deadlineS) {
+        String image, double imageGb, double estimateS, double checkpointS, double saveS, Double deadlineS,
+        List<String> needs) {
+    /** Longer names are cut in {@link #abridged}. */
+    private static final int SHORT_NAME = 64;
 
     public boolean allowsType(String type) {
         return types == null || types.contains(type);
@@ -31,4 +36,11 @@
     public double saveGraceS() {
         return checkpoints() ? saveS : 0;
     }
+
+    /** What still counts of a cancelled job, where the whole of it does not fit what the state service takes by now. */
+    public JobSpec abridged() {
+        String shortImage = image.length() > SHORT_NAME ? image.substring(0, SHORT_NAME) : image;
+        return new JobSpec(id, jobClass, team, kind, priority, tasks, perTask, null, zone, oneZone, spread, spotAllowed, shortImage, imageGb,
+                estimateS, checkpointS, saveS, deadlineS, List.of());
+    }
 }
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/PageOutcome.java
@@ -0,0 +1,10 @@
+package io.kelphoist.core;
+
+/** How the write of a page ended. */
+public enum PageOutcome {
+    STORED,
+    /** It is not known to be stored. */
+    UNSURE,
+    /** The state service takes no value of this size. */
+    TOO_LARGE
+}
--- a/src/main/java/io/kelphoist/core/Pages.java
+++ b/src/main/java/io/kelphoist/core/Pages.java
@@ -7,14 +7,22 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Packs many small entries into few values at the state service, so that what changes at about the same time costs one
  * change there and not one each. An entry stays on its page until it is removed; a page is written whole. What was
  * removed since stays in the stored value until the page is written again, which new entries bring about, or
  * {@link #untidy}.
+ *
+ * <p>A page that an earlier term wrote may be larger than a value may be by now. What does not fit any more moves to
+ * other pages, and so does an entry that outgrew its own. The page that it leaves is written again only when the new one
+ * is stored: nothing is off the record in between.
  */
 final class Pages<E> {
+    private static final Logger LOG = LoggerFactory.getLogger(Pages.class);
+
     /** Sends a page off; the outcome comes back by {@link #written}. */
     interface Writer<E> {
         void write(int page, List<E> entries);
@@ -22,6 +30,8 @@
 
     /** A page with less room than this share of it gets no new entries: it would be written for a few of them only. */
     private static final double ROOMY = 0.25;
+    /** No limit that is found out falls below this. */
+    private static final int LEAST_LIMIT = 256;
     /** So many pages are under way at the same time. */
     private static final int MOST_OPEN = 4;
     /** Tidying up waits this many times as long between two pages as what is new. */
@@ -39,14 +49,16 @@
         /** What the write under way holds; null: none is. */
         List<E> sent;
         /** What the stored value holds, as far as is known. */
-        final List<E> stored = new ArrayList<>();
+        final Set<E> stored = new ReferenceLinkedOpenHashSet<>();
+        /** Entries that moved elsewhere; until they are stored there, this page's stored value is where they are. */
+        final List<E> leaving = new ArrayList<>();
 
         Page(int number) {
             this.number = number;
         }
     }
 
-    private final int limit;
+    private int limit;
     private final double everyS;
     private final ToIntFunction<E> size;
     private final List<Page<E>> pages = new ArrayList<>();
@@ -99,13 +111,11 @@
         Place<E> place = at.get(entry);
         int bytes = size.applyAsInt(entry);
         Page<E> page = place == null ? null : place.page;
-        if (page == null || page.bytes - place.bytes + bytes > limit && page.entries.size() > 1) {
-            remove(entry);
-            if (page != null) {
-                page.dirty = true;
-            }
+        if (page == null) {
             page = roomFor(bytes);
             assign(entry, page);
+        } else if (page.bytes - place.bytes + bytes > limit && page.entries.size() > 1) {
+            page = move(entry, page, bytes);
         } else {
             page.bytes += bytes - place.bytes;
             at.put(entry, new Place<>(page, bytes));
@@ -113,14 +123,26 @@
         page.dirty = true;
     }
 
-    /** New entries gather on one page until it is sent or full. */
+    private Page<E> move(E entry, Page<E> from, int bytes) {
+        remove(entry);
+        from.dirty = true;
+        from.leaving.add(entry);
+        Page<E> to = roomFor(bytes);
+        assign(entry, to);
+        // It may have been there long ago.
+        to.stored.remove(entry);
+        to.dirty = true;
+        return to;
+    }
+
+    /** A page whose entries wait to be stored elsewhere takes no others: so no two pages ever wait for each other. */
     private Page<E> roomFor(int bytes) {
-        if (open != null && open.sent == null && open.bytes + bytes <= limit) {
+        if (open != null && open.sent == null && open.leaving.isEmpty() && open.bytes + bytes <= limit) {
             return open;
         }
         open = null;
         for (Page<E> page : pages) {
-            if (page.sent == null && (open == null || page.bytes < open.bytes)) {
+            if (page.sent == null && page.leaving.isEmpty() && (open == null || page.bytes < open.bytes)) {
                 open = page;
             }
         }
@@ -135,6 +157,15 @@
         Page<E> page = at.get(entry).page;
         remove(entry);
         assign(next, page);
+        if (page.stored.contains(entry)) {
+            page.stored.add(next);
+        }
+        if (page.sent != null) {
+            page.sent = page.sent.stream().map(e -> e == entry ? next : e).toList();
+        }
+        for (Page<E> left : pages) {
+            left.leaving.replaceAll(e -> e == entry ? next : e);
+        }
     }
 
     void remove(E entry) {
@@ -161,15 +192,16 @@
         int from = next;
         for (int i = 0; i < pages.size() && underWay < MOST_OPEN; i++) {
             Page<E> page = pages.get((from + i) % pages.size());
-            if (page.dirty && page.sent == null) {
+            if (page.dirty && page.sent == null && fits(page)) {
                 next = page.number + 1;
                 send(page, counts, writer);
                 sent++;
             }
         }
         if (sent == 0 && underWay == 0 && now >= tidyAt) {
-            for (Page<E> page : pages) {
-                if (page.untidy) {
+            for (int i = 0; i < pages.size(); i++) {
+                Page<E> page = pages.get(i);
+                if (page.untidy && fits(page)) {
                     tidyAt = now + everyS * TIDY_SELDOM;
                     send(page, counts, writer);
                     sent++;
@@ -182,6 +214,16 @@
         }
     }
 
+    /** Moves away what is too much for the page; true once it can be written with nothing off the record. */
+    private boolean fits(Page<E> page) {
+        while (page.bytes > limit && page.entries.size() > 1) {
+            E last = ((ReferenceLinkedOpenHashSet<E>) page.entries).last();
+            move(last, page, at.get(last).bytes);
+        }
+        page.leaving.removeIf(e -> !at.containsKey(e) || at.get(e).page.stored.contains(e));
+        return page.leaving.isEmpty();
+    }
+
     private void send(Page<E> page, Predicate<E> counts, Writer<E> writer) {
         page.dirty = false;
         page.untidy = false;
@@ -190,8 +232,15 @@
         writer.write(page.number, page.sent);
     }
 
+    /** Values as large as this page's are refused: from now on pages are smaller. A single entry is not tried again. */
+    private void shrink(Page<E> page) {
+        limit = Math.max(LEAST_LIMIT, Math.min(limit, page.bytes) * 3 / 4);
+        page.dirty = page.entries.size() > 1;
+        LOG.error("a page of {} entries is too large for the state service, from now on {} bytes at most", page.entries.size(), limit);
+    }
+
     /** The outcome of a write; returns what it held. A page that was not surely stored is written again. */
-    List<E> written(int number, boolean stored) {
+    List<E> written(int number, PageOutcome outcome) {
         Page<E> page = number < pages.size() ? pages.get(number) : null;
         if (page == null || page.sent == null) {
             return List.of();
@@ -199,11 +248,13 @@
         List<E> sent = page.sent;
         page.sent = null;
         underWay--;
-        if (stored) {
-            page.stored.clear();
-            page.stored.addAll(sent);
-        } else {
-            page.dirty = true;
+        switch (outcome) {
+            case STORED -> {
+                page.stored.clear();
+                page.stored.addAll(sent);
+            }
+            case UNSURE -> page.dirty = true;
+            case TOO_LARGE -> shrink(page);
         }
         return sent;
     }
--- a/src/main/java/io/kelphoist/core/Placing.java
+++ b/src/main/java/io/kelphoist/core/Placing.java
@@ -61,7 +61,7 @@
         if (m.used().gpus() + m.used().cpus() <= 1e-6 && unused > 0.5) {
             cost += BREAK_EMPTY_S;
         }
-        if (job.spec.spotAllowed() && !m.spot && job.spec.priority().compareTo(Priority.HIGH) < 0) {
+        if (job.spec.spotAllowed() && !m.spot && job.priority().compareTo(Priority.HIGH) < 0) {
             cost += BREAK_EMPTY_S;
         }
         return cost;
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -39,7 +39,7 @@
             }
             Resources need = atOnce(job);
             boolean guaranteed = job.team.withinGuarantee(need);
-            double patience = job.spec.priority().compareTo(Priority.HIGH) >= 0 ? 0 : PATIENCE_S;
+            double patience = job.priority().compareTo(Priority.HIGH) >= 0 ? 0 : PATIENCE_S;
             if (job.spec.kind() == JobKind.ARRAY && !guaranteed || now - job.waitingSince < patience
                     || now < job.machineFilterUntil || job.gangRan) {
                 continue;
@@ -70,7 +70,7 @@
                 }
                 if (p.stopping()) {
                     freed = freed.plus(p.job.spec.perTask());
-                } else if (p.job.spec.kind() == JobKind.ARRAY && p.job.spec.priority().compareTo(job.spec.priority()) < 0) {
+                } else if (p.job.spec.kind() == JobKind.ARRAY && p.job.priority().compareTo(job.priority()) < 0) {
                     possible.add(p);
                 }
             }
@@ -131,8 +131,8 @@
             return false;
         }
         double aim = cluster.policy.startWithinS().getOrDefault(job.spec.jobClass(), 0.0);
-        boolean soonEnough = now - job.acceptedAt + fetchS * SLOW_FETCH < aim;
-        return !soonEnough || plan.pieces.stream().flatMap(piece -> piece.victims.stream()).noneMatch(v -> v.job.spec.deadlineS() != null);
+        boolean soonEnough = now - job.readyAt + fetchS * SLOW_FETCH < aim;
+        return !soonEnough || plan.pieces.stream().flatMap(piece -> piece.victims.stream()).noneMatch(v -> v.job.latestFinish() != Double.POSITIVE_INFINITY);
     }
 
     /** Room for one task of a job: what has to stop for it beyond what the machine's earlier pieces need. */
@@ -202,7 +202,7 @@
                     possible.add(p);
                 }
             }
-            possible.sort(Comparator.comparing((Placement p) -> p.job.spec.priority()).thenComparingDouble(p -> p.workAtRisk(now)));
+            possible.sort(Comparator.comparing((Placement p) -> p.job.priority()).thenComparingDouble(p -> p.workAtRisk(now)));
         }
         double fetch = Placing.fetchSeconds(job, m);
         double grace = 0;
@@ -229,7 +229,7 @@
         if (p.job.spec.kind() == JobKind.SERVICE) {
             return false;
         }
-        if (p.job.spec.priority().compareTo(job.spec.priority()) < 0) {
+        if (p.job.priority().compareTo(job.priority()) < 0) {
             return true;
         }
         return guaranteed && p.job.team != job.team && !p.job.team.withinGuarantee(Resources.NONE);
--- a/src/main/java/io/kelphoist/core/StartRecords.java
+++ b/src/main/java/io/kelphoist/core/StartRecords.java
@@ -50,9 +50,9 @@
         pages.run(now, p -> p.state() != Placement.State.EXITED || p.dangling || p.inFlight, effects::storeStarts);
     }
 
-    void stored(int page, boolean stored) {
-        for (Placement p : pages.written(page, stored)) {
-            p.recorded |= stored;
+    void stored(int page, PageOutcome outcome) {
+        for (Placement p : pages.written(page, outcome)) {
+            p.recorded |= outcome == PageOutcome.STORED;
         }
     }
 }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -10,6 +10,7 @@
 import io.kelphoist.core.Effects;
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Job;
+import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
@@ -129,7 +130,7 @@
             public UserApi.Counts counts(String job) {
                 return Controller.this.counts.get(job);
             }
-        }, settings.teams(), settings.zones(), settings.stateLimits().valueKb());
+        }, settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS());
         beat();
         readTypes();
     }
@@ -279,8 +280,8 @@
             });
             return;
         }
-        store = new Store(state, committer, loop, System::currentTimeMillis, termVersion, () -> election.resign("the term has moved on", loop.now()),
-                this::soon);
+        store = new Store(state, committer, loop, System::currentTimeMillis, (int) (settings.stateLimits().valueKb() * 1024), termVersion,
+                () -> election.resign("the term has moved on", loop.now()), this::soon);
         cluster = new Cluster(operator.policy(settings), this, term, types, loop.now());
         Cluster loading = cluster;
         Store reading = store;
@@ -531,6 +532,16 @@
         ifStored(s -> s.done(job, version));
     }
 
+    @Override
+    public void storeCancelled(JobRecord job) {
+        ifStored(s -> s.cancelled(job));
+    }
+
+    @Override
+    public void lookUp(String job) {
+        ifStored(s -> s.lookUp(job));
+    }
+
     @Override
     public void storeStarts(int page, List<Placement> starts) {
         ifStored(s -> s.starts(page, starts));
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -7,6 +7,7 @@
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineType;
+import io.kelphoist.core.PageOutcome;
 import io.kelphoist.core.Placement;
 import io.kelphoist.core.TaskProgress;
 import io.kelphoist.state.Committer;
@@ -37,6 +38,7 @@
     private final Committer committer;
     private final StateClient.Loop loop;
     private final LongSupplier wallMs;
+    private final int valueBytes;
     private final StateClient.Condition term;
     private final Runnable deposed;
     private final Runnable changed;
@@ -45,12 +47,13 @@
     /** Last known versions of the keys that only leaders write. */
     private final Map<String, Long> versions = new HashMap<>();
 
-    Store(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, long termVersion, Runnable deposed,
-          Runnable changed) {
+    Store(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, int valueBytes, long termVersion,
+          Runnable deposed, Runnable changed) {
         this.state = state;
         this.committer = committer;
         this.loop = loop;
         this.wallMs = wallMs;
+        this.valueBytes = valueBytes;
         this.term = new StateClient.Condition(Keys.TERM, termVersion);
         this.deposed = deposed;
         this.changed = changed;
@@ -122,7 +125,7 @@
     private void job(String key, JsonNode value, long version) {
         try {
             JobRecord record = Records.job(key, value, version);
-            cluster.onJob(record, Math.max(0, (wallMs.getAsLong() - record.acceptedAtMs()) / 1000.0), loop.now());
+            cluster.onJob(record, Math.max(0, (wallMs.getAsLong() - record.atMs()) / 1000.0), loop.now());
         } catch (BadMessage e) {
             LOG.error("record {}: {}", key, e.getMessage());
         }
@@ -160,10 +163,10 @@
 
     // ---- writing ----
 
-    private void write(List<StateClient.Condition> also, List<StateClient.Change> changes, int bytes, Committer.Done done) {
+    private void write(boolean urgent, List<StateClient.Condition> also, List<StateClient.Change> changes, int bytes, Committer.Done done) {
         List<StateClient.Condition> conditions = new ArrayList<>(also);
         conditions.add(term);
-        committer.submit(new Committer.Write(conditions, changes, bytes, loop.now() + PATIENCE_S, true, (outcome, revision) -> {
+        committer.submit(new Committer.Write(conditions, changes, bytes, loop.now() + PATIENCE_S, urgent, true, (outcome, revision) -> {
             if (!closed) {
                 done.on(outcome, revision);
                 changed.run();
@@ -184,16 +187,18 @@
      * Puts a key that only leaders write. A transaction can be applied late, and must not bring an older value back:
      * each write is conditional on the version that was last known, which is read again when in doubt.
      */
-    private void own(String key, ObjectNode value, Consumer<Boolean> stored) {
-        write(List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)),
+    private void own(String key, ObjectNode value, Consumer<PageOutcome> stored) {
+        write(false, List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)),
                 Cbor.encodeJson(value).length + KEY_BYTES, (outcome, revision) -> {
                     if (outcome == Committer.Outcome.STORED) {
                         versions.put(key, revision);
-                        stored.accept(true);
+                        stored.accept(PageOutcome.STORED);
                     } else if (outcome == Committer.Outcome.REFUSED) {
-                        stored.accept(false);
+                        stored.accept(PageOutcome.UNSURE);
+                    } else if (outcome == Committer.Outcome.TOO_LARGE) {
+                        stored.accept(PageOutcome.TOO_LARGE);
                     } else {
-                        learn(key, () -> stored.accept(false));
+                        learn(key, () -> stored.accept(PageOutcome.UNSURE));
                     }
                 });
     }
@@ -215,41 +220,67 @@
     }
 
     void progress(int page, List<TaskProgress> progress) {
-        own(Keys.page(Keys.PROGRESS, page), Records.progress(progress), ok -> cluster.onProgressStored(page, ok));
+        own(Keys.page(Keys.PROGRESS, page), Records.progress(progress), end -> cluster.onProgressStored(page, end));
     }
 
     void starts(int page, List<Placement> starts) {
-        own(Keys.page(Keys.STARTS, page), Records.starts(starts, cluster::zoneName), ok -> cluster.onStartsStored(page, ok));
+        own(Keys.page(Keys.STARTS, page), Records.starts(starts, cluster::zoneName), end -> cluster.onStartsStored(page, end));
     }
 
     void images(int page, List<Machine> machines) {
         own(Keys.page(Keys.IMAGES, page), Records.images(machines.stream().map(cluster::imagesOn).toList()),
-                ok -> cluster.onImagesStored(page, ok));
+                end -> cluster.onImagesStored(page, end));
     }
 
     void done(String job, long version) {
-        List<StateClient.Change> changes = new ArrayList<>();
-        changes.add(new StateClient.Change(Keys.job(job), Records.done(), 0));
-        write(List.of(new StateClient.Condition(Keys.job(job), version)), changes, 200, (outcome, revision) -> {
-            if (outcome == Committer.Outcome.STORED) {
-                cluster.onJob(new JobRecord(job, null, JobStatus.DONE, 0, revision), 0, loop.now());
-                return;
+        end(false, new JobRecord(job, null, JobStatus.DONE, wallMs.getAsLong(), version), Records.done(wallMs.getAsLong()));
+    }
+
+    /** Before bulk work: users wait for what they cancelled. */
+    void cancelled(JobRecord job) {
+        end(true, new JobRecord(job.id(), job.spec(), JobStatus.CANCELLED, job.atMs(), job.version()), Records.cancelled(job, valueBytes));
+    }
+
+    /** The end of a job, unless its record has changed since. */
+    private void end(boolean urgent, JobRecord ended, ObjectNode value) {
+        String job = ended.id();
+        write(urgent, List.of(new StateClient.Condition(Keys.job(job), ended.version())), List.of(new StateClient.Change(Keys.job(job), value, 0)),
+                Cbor.encodeJson(value).length + KEY_BYTES, (outcome, revision) -> {
+                    if (outcome == Committer.Outcome.STORED) {
+                        cluster.onJob(new JobRecord(job, ended.spec(), ended.status(), ended.atMs(), revision), 0, loop.now());
+                        return;
+                    }
+                    // Perhaps it was cancelled, or written already: what is stored decides.
+                    state.get(Keys.job(job), result -> {
+                        if (closed) {
+                            return;
+                        }
+                        read(job, result);
+                        cluster.onEndNotStored(job);
+                        checkTerm();
+                    });
+                });
+    }
+
+    /** Takes in what is stored of a job; false if nothing is. */
+    private boolean read(String job, StateClient.Result result) {
+        if (result instanceof StateClient.Done d && d.status() == 200) {
+            job(Keys.job(job), d.body().path("value"), d.body().path("entry").asLong());
+            return true;
+        }
+        return false;
+    }
+
+    void lookUp(String job) {
+        state.get(Keys.job(job), result -> {
+            if (!closed && !read(job, result) && result instanceof StateClient.Done) {
+                cluster.onJobAbsent(job, loop.now());
             }
-            // Perhaps it was cancelled, or written already: what is stored decides.
-            state.get(Keys.job(job), result -> {
-                if (closed) {
-                    return;
-                }
-                if (result instanceof StateClient.Done d && d.status() == 200) {
-                    job(Keys.job(job), d.body().path("value"), d.body().path("entry").asLong());
-                }
-                cluster.onDoneNotStored(job);
-                checkTerm();
-            });
+            changed.run();
         });
     }
 
     void types(List<MachineType> types) {
-        write(List.of(), List.of(new StateClient.Change(Keys.TYPES, Codec.types(types), 0)), 1000, (outcome, revision) -> { });
+        write(false, List.of(), List.of(new StateClient.Change(Keys.TYPES, Codec.types(types), 0)), 1000, (outcome, revision) -> { });
     }
 }
--- a/src/main/java/io/kelphoist/state/Committer.java
+++ b/src/main/java/io/kelphoist/state/Committer.java
@@ -1,6 +1,7 @@
 package io.kelphoist.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.Iterables;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -11,10 +12,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Group commit: writes that wait at the same time share transactions, within the limits of the state service.
- * One transaction is under way at a time.
+ * One transaction is under way at a time. What users wait for goes before the rest.
  */
 public final class Committer {
     /** How a write ended. */
@@ -24,29 +27,38 @@
         CONFLICT,
         /** Surely not executed. */
         REFUSED,
+        /** Surely not executed, nor ever will be as it is. */
+        TOO_LARGE,
         /** Nobody knows, now or later: read back. */
         UNSURE
     }
 
     /**
+     * @param urgent goes before what is not
      * @param patient tried again until {@code until} if the service is down; otherwise refused at once
      * @param done also gets the revision of a stored write
      */
     public record Write(List<StateClient.Condition> conditions, List<StateClient.Change> changes, int bytes, double until,
-                        boolean patient, Done done) { }
+                        boolean urgent, boolean patient, Done done) { }
 
     /** Takes the outcome. */
     public interface Done {
         void on(Outcome outcome, long revision);
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
     private static final int MOST_BYTES = 48 * 1024;
+    /** Conditions that a transaction may have for each change that it may have. */
+    private static final int CONDITIONS_PER_OP = 4;
     private static final int MOST_WAITING = 2000;
     private final StateClient state;
     private final StateClient.Loop loop;
     private final RateGate writes;
     private final int mostOps;
-    private final Deque<Write> queue = new ArrayDeque<>();
+    private final Deque<Write> urgent = new ArrayDeque<>();
+    private final Deque<Write> others = new ArrayDeque<>();
+    /** So many writes may share a transaction: fewer after one was refused as too large. */
+    private int together = Integer.MAX_VALUE;
     private boolean busy;
 
     public Committer(StateClient state, StateClient.Loop loop, double writeRps, int txnOps) {
@@ -57,27 +69,36 @@
     }
 
     public int waiting() {
-        return queue.size();
+        return urgent.size() + others.size();
     }
 
     public void submit(Write write) {
-        if (queue.size() >= MOST_WAITING) {
+        if (waiting() >= MOST_WAITING) {
             write.done().on(Outcome.REFUSED, 0);
             return;
         }
-        queue.add(write);
+        queue(write).add(write);
         pump();
     }
 
+    private Deque<Write> queue(Write write) {
+        return write.urgent() ? urgent : others;
+    }
+
+    private void expire(Deque<Write> queue, double now) {
+        while (!queue.isEmpty() && queue.peek().until() < now) {
+            queue.poll().done().on(Outcome.REFUSED, 0);
+        }
+    }
+
     private void pump() {
-        if (busy || queue.isEmpty()) {
+        if (busy || waiting() == 0) {
             return;
         }
         double now = loop.now();
-        while (!queue.isEmpty() && queue.peek().until() < now) {
-            queue.poll().done().on(Outcome.REFUSED, 0);
-        }
-        if (queue.isEmpty()) {
+        expire(urgent, now);
+        expire(others, now);
+        if (busy || waiting() == 0) {
             return;
         }
         List<Write> batch = batch();
@@ -92,9 +113,7 @@
                 return;
             }
         }
-        for (int i = 0; i < batch.size(); i++) {
-            queue.poll();
-        }
+        batch.forEach(w -> queue(w).poll());
         send(batch);
     }
 
@@ -104,16 +123,19 @@
         Map<String, Long> versions = new HashMap<>();
         int ops = 0;
         int bytes = 0;
-        for (Write w : queue) {
+        for (Write w : Iterables.concat(urgent, others)) {
             ops += w.changes().size();
             bytes += w.bytes();
             boolean clash = w.changes().stream().anyMatch(c -> keys.contains(c.key()))
                     || w.conditions().stream().anyMatch(c -> versions.getOrDefault(c.key(), c.version()) != c.version());
-            if (!batch.isEmpty() && (ops > mostOps || bytes > MOST_BYTES || clash)) {
+            if (!batch.isEmpty() && (batch.size() >= together || ops > mostOps || bytes > MOST_BYTES || clash)) {
                 break;
             }
             w.changes().forEach(c -> keys.add(c.key()));
             w.conditions().forEach(c -> versions.put(c.key(), c.version()));
+            if (!batch.isEmpty() && versions.size() > mostOps * CONDITIONS_PER_OP) {
+                break;
+            }
             batch.add(w);
         }
         return batch;
@@ -142,6 +164,8 @@
                 finish(batch, w -> w.done().on(Outcome.STORED, revision));
             } else if (result instanceof StateClient.Done d && d.status() == 409) {
                 conflict(batch, d.body().path("failed"));
+            } else if (result instanceof StateClient.Done d && d.status() == 400) {
+                tooLarge(batch, d.body().path("error").asText());
             } else if (result instanceof StateClient.Done) {
                 finish(batch, w -> w.done().on(Outcome.CONFLICT, 0));
             } else if (result instanceof StateClient.Unsure) {
@@ -157,6 +181,24 @@
         });
     }
 
+    /**
+     * Nothing was executed. Writes that were refused together are tried in smaller company; a single one never again as
+     * it is, and then it was not for the company.
+     */
+    private void tooLarge(List<Write> batch, String why) {
+        if (batch.size() > 1) {
+            together = batch.size() / 2;
+            LOG.warn("the state service takes no transaction of {} writes ({}), from now on {} at most", batch.size(), why, together);
+            requeue(batch);
+            return;
+        }
+        together = Integer.MAX_VALUE;
+        Write w = batch.get(0);
+        LOG.error("the state service refuses to store {} with {} bytes: {}", w.changes().stream().map(StateClient.Change::key).toList(),
+                w.bytes(), why);
+        w.done().on(Outcome.TOO_LARGE, 0);
+    }
+
     private void conflict(List<Write> batch, JsonNode failed) {
         Set<String> keys = new HashSet<>();
         failed.forEach(k -> keys.add(k.asText()));
@@ -172,7 +214,7 @@
 
     private void requeue(List<Write> batch) {
         for (int i = batch.size() - 1; i >= 0; i--) {
-            queue.addFirst(batch.get(i));
+            queue(batch.get(i)).addFirst(batch.get(i));
         }
     }
 
--- a/src/main/java/io/kelphoist/state/Records.java
+++ b/src/main/java/io/kelphoist/state/Records.java
@@ -25,20 +25,28 @@
 public final class Records {
     private Records() { }
 
-    public static ObjectNode job(JobSpec spec, long acceptedAtMs) {
-        ObjectNode m = Cbor.map().put("status", "active").put("at", acceptedAtMs);
+    public static ObjectNode job(JobSpec spec, long atMs) {
+        ObjectNode m = Cbor.map().put("status", "active").put("at", atMs);
         m.set("spec", Codec.job(spec));
         return m;
     }
 
-    public static ObjectNode done() {
-        return Cbor.map().put("status", "done");
+    public static ObjectNode done(long atMs) {
+        return Cbor.map().put("status", "done").put("at", atMs);
     }
 
-    /** Keeps the description: its tasks count until they are gone, also for the next leader. */
-    public static ObjectNode cancelled(JobRecord job) {
-        ObjectNode m = Cbor.map().put("status", "cancelled").put("at", job.acceptedAtMs());
-        m.set("spec", Codec.job(job.spec()));
+    /**
+     * Keeps the description: its tasks count until they are gone, also for the next leader. Of one that was accepted
+     * when values could be larger, only what counts.
+     */
+    public static ObjectNode cancelled(JobRecord job, int mostBytes) {
+        ObjectNode whole = cancelled(job.spec(), job.atMs());
+        return Cbor.encodeJson(whole).length <= mostBytes ? whole : cancelled(job.spec().abridged(), job.atMs());
+    }
+
+    private static ObjectNode cancelled(JobSpec spec, long atMs) {
+        ObjectNode m = Cbor.map().put("status", "cancelled").put("at", atMs);
+        m.set("spec", Codec.job(spec));
         return m;
     }
 
@@ -50,7 +58,7 @@
             case "cancelled" -> JobStatus.CANCELLED;
             default -> throw new BadMessage("status of " + key + " is unknown");
         };
-        JobSpec spec = status == JobStatus.DONE ? null : Codec.job(value.path("spec"));
+        JobSpec spec = status == JobStatus.DONE ? null : Codec.storedJob(value.path("spec"));
         return new JobRecord(key.substring(Keys.JOBS.length()), spec, status, value.path("at").asLong(), version);
     }
 
--- a/src/main/java/io/kelphoist/wire/Codec.java
+++ b/src/main/java/io/kelphoist/wire/Codec.java
@@ -26,6 +26,9 @@
 public final class Codec {
     public static final int MOST_TASKS = 100_000;
     public static final int MOST_BODY = 64 * 1024;
+    private static final String NEEDS = "holdfast";
+    /** Longer than any id that users may choose, so that no job has it. */
+    private static final String UNREADABLE = "job-" + "0".repeat(31);
     private static final Pattern JOB_ID = Pattern.compile("job-[0-9]{1,30}");
 
     private Codec() { }
@@ -37,6 +40,22 @@
     // ---- users ----
 
     public static JobSpec job(JsonNode m) throws BadMessage {
+        return job(m, needs(m));
+    }
+
+    /**
+     * A description as stored. One whose dependencies can't be read still has a user who asks for it, and it must never
+     * start: it needs what does not exist.
+     */
+    public static JobSpec storedJob(JsonNode m) throws BadMessage {
+        try {
+            return job(m);
+        } catch (BadMessage e) {
+            return job(m, List.of(UNREADABLE));
+        }
+    }
+
+    private static JobSpec job(JsonNode m, List<String> needs) throws BadMessage {
         String id = Fields.text(m, "name_id");
         if (!isJobId(id)) {
             throw new BadMessage("name_id is not a job id");
@@ -61,7 +80,20 @@
                 new Resources(Fields.amount(m, "cpus"), Fields.amount(m, "accelerators"), Fields.amount(m, "ram_gb")),
                 types, Fields.textOr(m, "bed", null), Fields.flag(m, "same_place"), Fields.flag(m, "scatter"),
                 Fields.flag(m, "driftwood"), Fields.text(m, "spore"), Fields.amount(m, "image_gb"), Fields.amount(m, "haul_s"),
-                Fields.amount(m, "mooring_s"), Fields.amount(m, "stow_s"), deadline);
+                Fields.amount(m, "mooring_s"), Fields.amount(m, "stow_s"), deadline, needs);
+    }
+
+    private static List<String> needs(JsonNode m) throws BadMessage {
+        if (!Fields.has(m, NEEDS)) {
+            return List.of();
+        }
+        Set<String> needs = new LinkedHashSet<>(Fields.texts(m, NEEDS));
+        for (String need : needs) {
+            if (!isJobId(need) || need.equals(Fields.textOr(m, "name_id", null))) {
+                throw new BadMessage(NEEDS + " holds something that is not another job's id");
+            }
+        }
+        return List.copyOf(needs);
     }
 
     /** The description as users send it; stored as it is. */
@@ -93,6 +125,10 @@
         if (job.deadlineS() != null) {
             m.put("landfall_s", job.deadlineS().doubleValue());
         }
+        if (!job.needs().isEmpty()) {
+            ArrayNode needs = m.putArray(NEEDS);
+            job.needs().forEach(needs::add);
+        }
         return m;
     }
 
--- a/src/main/java/io/kelphoist/wire/HttpServing.java
+++ b/src/main/java/io/kelphoist/wire/HttpServing.java
@@ -52,6 +52,11 @@
         send(exchange, status, JSON, Cbor.encodeJson(body));
     }
 
+    /** For good, and why. */
+    public static void refuse(HttpServerExchange exchange, int status, String why) {
+        cbor(exchange, status, Cbor.map().put("error", why));
+    }
+
     public static void retryLater(HttpServerExchange exchange, int seconds) {
         exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Integer.toString(seconds));
         status(exchange, 503);
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -33,6 +33,8 @@
     private final Set<String> returned = new TreeSet<>();
     private final Map<Integer, List<Placement>> recorded = new TreeMap<>();
     private final Map<String, String> cached = new TreeMap<>();
+    private int recordBytes = 2000;
+    private final List<String> lookedUp = new ArrayList<>();
     private int writes;
     private long looked;
     private boolean startsStoreWorks = true;
@@ -61,6 +63,9 @@
             }
             case "job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.ACTIVE, 0, ++version), number(with, "age", 0), now);
             case "cancel" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.CANCELLED, 0, ++version), 0, now);
+            case "done-job" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.DONE, 0, ++version), number(with, "age", 0), now);
+            case "absent" -> cluster.onJobAbsent(w[1], now);
+            case "record-bytes" -> recordBytes = Integer.parseInt(w[1]);
             case "cancelled-job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.CANCELLED, 0, ++version), 0, now);
             case "loaded" -> tasks(with.get("tasks")).forEach(task -> cluster.onStartLoaded((int) number(with, "page", 0),
                     new StartedTask(w[1], types.get(0).name(), with.getOrDefault("zone", zones.get(0)), with.containsKey("spot"), task), now));
@@ -81,15 +86,16 @@
             }
             case "order" -> ordered(w, with);
             case "starts-store" -> startsStoreWorks = w[1].equals("works");
-            case "starts-stored" -> cluster.onStartsStored(Integer.parseInt(w[1]), true);
-            case "starts-unsure" -> cluster.onStartsStored(Integer.parseInt(w[1]), false);
+            case "starts-stored" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.STORED);
+            case "starts-unsure" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.UNSURE);
+            case "starts-too-large" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.TOO_LARGE);
             case "stored" -> stored(w[1]);
             case "store-fails" -> {
-                if (stored.remove("done " + w[1])) {
-                    cluster.onDoneNotStored(w[1]);
+                if (stored.remove("done " + w[1]) || stored.remove("cancelled " + w[1])) {
+                    cluster.onEndNotStored(w[1]);
                 } else {
                     stored.removeIf(s -> s.contains(w[1]));
-                    cluster.onProgressStored(0, false);
+                    cluster.onProgressStored(0, PageOutcome.UNSURE);
                 }
             }
             case "rented" -> rented(w);
@@ -112,7 +118,7 @@
     // ---- the cluster's side ----
 
     private void term(long term) {
-        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, 2000, 0.01, 0.01, Map.of("relaxed", 15.0));
+        Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, recordBytes, 0.01, 0.01, Map.of("relaxed", 15.0));
         cluster = new Cluster(policy, this, term, types, now);
         orders.clear();
         stored.clear();
@@ -159,8 +165,9 @@
                 Priority.valueOf(with.getOrDefault("priority", "normal").toUpperCase()), (int) number(with, "tasks", 1),
                 new Resources(number(with, "cpus", 1), number(with, "gpus", 1), number(with, "mem", 1)), null, with.get("zone"),
                 with.containsKey("one-zone"), with.containsKey("spread"), with.containsKey("spot"), with.getOrDefault("image", "img"), 1,
-                60, number(with, "checkpoint", 0), number(with, "save", 0),
-                with.containsKey("deadline") ? Double.valueOf(with.get("deadline")) : null);
+                number(with, "estimate", 60), number(with, "checkpoint", 0), number(with, "save", 0),
+                with.containsKey("deadline") ? Double.valueOf(with.get("deadline")) : null,
+                with.containsKey("needs") ? List.of(with.get("needs").split(",")) : List.of());
     }
 
     /** report vm-1 SESSION SEQ TOKEN [notice=S] [JOB/TASK=PHASE[:EXIT]][@ATTEMPT]... */
@@ -201,9 +208,11 @@
     private void stored(String id) {
         if (stored.remove("done " + id)) {
             cluster.onJob(new JobRecord(id, null, JobStatus.DONE, 0, ++version), 0, now);
+        } else if (stored.remove("cancelled " + id)) {
+            cluster.onJob(new JobRecord(id, null, JobStatus.CANCELLED, 0, ++version), 0, now);
         } else {
             stored.removeIf(s -> s.startsWith("progress " + id));
-            cluster.onProgressStored(0, true);
+            cluster.onProgressStored(0, PageOutcome.STORED);
         }
     }
 
@@ -241,6 +250,14 @@
                 assertTrue(looks <= Integer.parseInt(w[2]), looks + " looks at machines");
             }
             case "pages" -> assertEquals(Integer.parseInt(w[2]), recorded.size());
+            case "looked-up" -> {
+                assertEquals(rest(w, 2), lookedUp.isEmpty() ? "none" : String.join(" ", lookedUp));
+                lookedUp.clear();
+            }
+            case "priority" -> assertEquals(w[3], cluster.jobs.get(w[2]).priority().name().toLowerCase());
+            case "finish-by" -> assertEquals(Double.parseDouble(w[3]), cluster.jobs.get(w[2]).latestFinish(), 1e-9);
+            case "page" -> assertEquals(rest(w, 3), recorded.getOrDefault(Integer.parseInt(w[2]), List.of()).stream()
+                    .map(p -> p.job().spec.id() + "/" + p.task()).collect(Collectors.joining(" ")));
             case "recovered" -> assertEquals(Boolean.valueOf(w[2]), cluster.recovered());
             case "deposed" -> assertEquals(Boolean.valueOf(w[2]), cluster.deposed());
             case "job" -> assertEquals(w[3], cluster.jobs.containsKey(w[2]) ? cluster.jobs.get(w[2]).state().name().toLowerCase() : "none");
@@ -301,12 +318,22 @@
         stored.add("done " + job);
     }
 
+    @Override
+    public void storeCancelled(JobRecord job) {
+        stored.add("cancelled " + job.id());
+    }
+
+    @Override
+    public void lookUp(String job) {
+        lookedUp.add(job);
+    }
+
     @Override
     public void storeStarts(int page, List<Placement> starts) {
         writes++;
         recorded.put(page, starts);
         if (startsStoreWorks) {
-            cluster.onStartsStored(page, true);
+            cluster.onStartsStored(page, PageOutcome.STORED);
         }
     }
 
@@ -315,7 +342,7 @@
         writes++;
         machines.forEach(m -> cached.put(m.name, cluster.imagesOn(m).images().stream().map(MachineImages.Image::name)
                 .collect(Collectors.joining(","))));
-        cluster.onImagesStored(page, true);
+        cluster.onImagesStored(page, PageOutcome.STORED);
     }
 
     /** By machine, what may be on it, all pages together. */
--- a/src/test/java/io/kelphoist/wire/CodecTest.java
+++ b/src/test/java/io/kelphoist/wire/CodecTest.java
@@ -148,8 +148,8 @@
         JobSpec spec = Codec.job(cbor(JOB));
         JobRecord active = Records.job(Keys.job(spec.id()), Records.job(spec, 5), 9);
         assertEquals(new JobRecord(spec.id(), spec, JobStatus.ACTIVE, 5, 9), active);
-        assertEquals(JobStatus.CANCELLED, Records.job(Keys.job(spec.id()), Records.cancelled(active), 10).status());
-        assertEquals(JobStatus.DONE, Records.job(Keys.job(spec.id()), Records.done(), 11).status());
+        assertEquals(JobStatus.CANCELLED, Records.job(Keys.job(spec.id()), Records.cancelled(active, 4096), 10).status());
+        assertEquals(JobStatus.DONE, Records.job(Keys.job(spec.id()), Records.done(12), 11).status());
         BitSet done = new BitSet();
         done.set(1, 5000);
         TaskProgress progress = new TaskProgress(spec.id(), 8192, done);
