--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -108,10 +108,10 @@
         }
     }
 
-    /** Plays a line many times, with the numbers from 0 on in place of '#'. */
+    /** Plays a line many times, with the numbers from 0 on in place of '#', and the next one in place of '#+'. */
     private void many(int times, String line) {
         for (int i = 0; i < times; i++) {
-            play(line.replace("#", Integer.toString(i)));
+            play(line.replace("#+", Integer.toString(i + 1)).replace("#", Integer.toString(i)));
         }
     }
 
@@ -239,6 +239,7 @@
             }
             case "order" -> assertEquals(rest(w, 3), said(orders.getOrDefault(w[2], List.of())));
             case "stored" -> assertEquals(rest(w, 2), stored.isEmpty() ? "none" : String.join(" ", stored));
+            case "stored-count" -> assertEquals(Integer.parseInt(w[2]), stored.size());
             case "rent" -> assertEquals(rest(w, 2), rentals.isEmpty() ? "none" : rentals.stream().map(Scenario::said).sorted().reduce((a, b) -> a + ", " + b).get());
             case "returned" -> assertEquals(rest(w, 2), returned.isEmpty() ? "none" : String.join(" ", returned));
             case "recorded" -> assertEquals(rest(w, 2), onRecord());
