--- a/src/main/java/io/kelphoist/core/ArrayScheduler.java
+++ b/src/main/java/io/kelphoist/core/ArrayScheduler.java
@@ -19,7 +19,11 @@
             return false;
         }
         Machine m = Placing.best(offer, job);
-        if (m == null || !m.caches(job.image) && shouldWait(job, m, offer.now())) {
+        if (m == null) {
+            return false;
+        }
+        if (!m.caches(job.image) && shouldWait(job, m, offer.now())) {
+            job.declinedAt = offer.now();
             return false;
         }
         cluster.start(job, task, m, cluster.nextAttempt(), offer.now());
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -50,6 +50,8 @@
     long gangAttempt;
     boolean gangRan;
     double retryAt;
+    /** When it last had room and waited for better: no other work is to be stopped for it then. */
+    double declinedAt = Double.NEGATIVE_INFINITY;
     int errors;
     int errorMachines;
     /** When its oldest unplaced work began to wait. */
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -41,7 +41,7 @@
             boolean guaranteed = job.team.withinGuarantee(need);
             double patience = job.priority().compareTo(Priority.HIGH) >= 0 ? 0 : PATIENCE_S;
             if (job.spec.kind() == JobKind.ARRAY && !guaranteed || now - job.waitingSince < patience
-                    || now < job.machineFilterUntil || job.gangRan) {
+                    || now < job.machineFilterUntil || job.gangRan || job.declinedAt == now) {
                 continue;
             }
             if (!job.team.withinLimit(need)) {
