--- a/src/main/java/io/kelphoist/api/JobLookup.java
+++ b/src/main/java/io/kelphoist/api/JobLookup.java
@@ -28,6 +28,9 @@
 
     record Absent() implements Found { }
 
+    /** There is a record that means nothing to this version: whatever the job is, it is not known to be cancelled. */
+    record Unreadable() implements Found { }
+
     /** It can't be read now. */
     record Unavailable() implements Found { }
 
@@ -77,6 +80,7 @@
                     found = new Known(record);
                 } catch (BadMessage e) {
                     LOG.error("record of {}: {}", id, e.getMessage());
+                    found = new Unreadable();
                 }
             }
             handler.accept(found);
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -71,7 +71,7 @@
         setTypes(types);
         starts = new StartRecords(policy, zones, effects);
         progress = new ProgressRecords(policy, effects);
-        cached = new ImageRecords(policy, images, effects);
+        cached = new ImageRecords(policy, images, this::gbOf, effects);
         dependencies = new Dependencies(jobs, effects);
         allocator = new Allocator(this);
         fleet = new Fleet(this);
--- a/src/main/java/io/kelphoist/core/ImageRecords.java
+++ b/src/main/java/io/kelphoist/core/ImageRecords.java
@@ -10,7 +10,7 @@
  */
 final class ImageRecords {
     private static final int FRAME_BYTES = 8;
-    private static final int IMAGE_BYTES = 12;
+    private static final int IMAGE_FRAME_BYTES = 4;
 
     /** What an earlier term wrote of a machine that was not heard of yet. */
     private record Found(int page, MachineImages images) { }
@@ -19,10 +19,10 @@
     private final Effects effects;
     private final Map<String, Found> found = new HashMap<>();
 
-    ImageRecords(Policy policy, Index images, Effects effects) {
+    ImageRecords(Policy policy, Index images, Machine.ImageSizes sizes, Effects effects) {
         this.effects = effects;
         pages = new Pages<>(policy.recordBytes(), policy.progressEveryS(), m -> m.name.length() + FRAME_BYTES
-                + m.images().intStream().map(i -> images.name(i).length() + IMAGE_BYTES).sum());
+                + m.images().intStream().map(i -> images.name(i).length() + Double.toString(sizes.gb(i)).length() + IMAGE_FRAME_BYTES).sum());
     }
 
     void found(int page, MachineImages images) {
--- a/src/test/java/io/kelphoist/daemon/EndToEndTest.java
+++ b/src/test/java/io/kelphoist/daemon/EndToEndTest.java
@@ -186,6 +186,10 @@
         assertEquals("done", Cbor.decode(retried.body()).path("sway").asText());
         assertEquals(200, insist(serving.get(1), "POST", "/work", job("job-52", "batch", 1, "job-404")).statusCode());
         assertEquals(503, call(serving.get(1), "POST", "/work", job("job-53", "batch", 1, "job-51")).statusCode());
+        ObjectNode waits = Cbor.map().put("status", "active").put("at", 1);
+        waits.set("spec", Cbor.decode(job("job-54", "batch", 1, "job-51")));
+        state.put("j/job-54", waits);
+        assertEquals("queued", status(serving.get(0), "job-54"));
     }
 
     @Test
