--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -225,9 +225,7 @@
     }
 
     private void recall(Machine m) {
-        for (MachineImages.Image i : cached.recall(m)) {
-            m.usedImage(image(i.name(), i.gb()), i.gb(), this::gbOf);
-        }
+        cached.recall(m, i -> m.usedImage(image(i.name(), i.gb()), i.gb(), this::gbOf));
     }
 
     /** What an earlier term knew to be cached on a machine. */
--- a/src/main/java/io/kelphoist/core/ImageRecords.java
+++ b/src/main/java/io/kelphoist/core/ImageRecords.java
@@ -1,8 +1,8 @@
 package io.kelphoist.core;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * Which images machines should have cached, on record at the state service: workers don't say, and a leader that does
@@ -29,14 +29,17 @@
         found.put(images.machine(), new Found(page, images));
     }
 
-    /** What is on record of a machine that came to be known. */
-    List<MachineImages.Image> recall(Machine m) {
+    /** What is on record of a machine that came to be known; its record is as large as what it has then. */
+    void recall(Machine m, Consumer<MachineImages.Image> has) {
         Found f = found.remove(m.name);
-        if (f == null) {
-            return List.of();
+        if (f != null) {
+            f.images.images().forEach(has);
+            boolean grew = pages.contains(m);
+            pages.restore(f.page, m);
+            if (grew) {
+                pages.put(m);
+            }
         }
-        pages.restore(f.page, m);
-        return f.images.images();
     }
 
     void changed(Machine m) {
--- a/src/main/java/io/kelphoist/core/Pages.java
+++ b/src/main/java/io/kelphoist/core/Pages.java
@@ -81,11 +81,13 @@
         this.size = size;
     }
 
-    /** An entry as it was found stored. */
+    /** An entry as it was found stored. One that has a place by now keeps it: an entry is on one page only. */
     void restore(int number, E entry) {
         Page<E> page = page(number);
         page.stored.add(entry);
-        assign(entry, page);
+        if (!at.containsKey(entry)) {
+            assign(entry, page);
+        }
     }
 
     private Page<E> page(int number) {
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kelphoist.state.Records;
+import io.kelphoist.wire.Cbor;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
@@ -35,6 +37,8 @@
     private final Map<String, String> cached = new TreeMap<>();
     private int recordBytes = 2000;
     private final List<String> lookedUp = new ArrayList<>();
+    private int imageBytes;
+    private PageOutcome imagesOutcome = PageOutcome.STORED;
     private int writes;
     private long looked;
     private boolean startsStoreWorks = true;
@@ -70,7 +74,7 @@
             case "loaded" -> tasks(with.get("tasks")).forEach(task -> cluster.onStartLoaded((int) number(with, "page", 0),
                     new StartedTask(w[1], types.get(0).name(), with.getOrDefault("zone", zones.get(0)), with.containsKey("spot"), task), now));
             case "all-loaded" -> cluster.onLoaded();
-            case "images-loaded" -> cluster.onImagesLoaded(0, new MachineImages(w[1],
+            case "images-loaded" -> cluster.onImagesLoaded((int) number(with, "page", 0), new MachineImages(w[1],
                     List.of(with.get("images").split(",")).stream().map(i -> new MachineImages.Image(i, 1)).toList()));
             case "progress" -> {
                 BitSet done = new BitSet();
@@ -86,6 +90,7 @@
             }
             case "order" -> ordered(w, with);
             case "starts-store" -> startsStoreWorks = w[1].equals("works");
+            case "images-store" -> imagesOutcome = PageOutcome.valueOf(w[1].toUpperCase());
             case "starts-stored" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.STORED);
             case "starts-unsure" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.UNSURE);
             case "starts-too-large" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.TOO_LARGE);
@@ -245,6 +250,7 @@
             case "recorded" -> assertEquals(rest(w, 2), onRecord());
             case "cached" -> assertEquals(w[3], cached.getOrDefault(w[2], "none"));
             case "writes-at-most" -> assertTrue(writes <= Integer.parseInt(w[2]), writes + " writes");
+            case "image-bytes-at-most" -> assertTrue(imageBytes <= Integer.parseInt(w[2]), imageBytes + " bytes");
             case "looks-at-most" -> {
                 long looks = cluster.considered() - looked;
                 looked = cluster.considered();
@@ -341,9 +347,10 @@
     @Override
     public void storeImages(int page, List<Machine> machines) {
         writes++;
+        imageBytes = Math.max(imageBytes, machines.size() < 2 ? 0 : Cbor.encodeJson(Records.images(machines.stream().map(cluster::imagesOn).toList())).length);
         machines.forEach(m -> cached.put(m.name, cluster.imagesOn(m).images().stream().map(MachineImages.Image::name)
                 .collect(Collectors.joining(","))));
-        cluster.onImagesStored(page, PageOutcome.STORED);
+        cluster.onImagesStored(page, imagesOutcome);
     }
 
     /** By machine, what may be on it, all pages together. */
