--- a/src/main/java/io/kelphoist/api/JobLookup.java
+++ b/src/main/java/io/kelphoist/api/JobLookup.java
@@ -96,7 +96,14 @@
         }
         List<Consumer<Found>> waiting = asked.get(id);
         if (waiting != null) {
-            waiting.add(handler);
+            // It may have been accepted since the look-up under way began.
+            waiting.add(found -> {
+                if (found instanceof Absent) {
+                    read(id, handler);
+                } else {
+                    handler.accept(found);
+                }
+            });
             return;
         }
         asked.put(id, new ArrayList<>(List.of(handler)));
--- a/src/main/java/io/kelphoist/api/UserApi.java
+++ b/src/main/java/io/kelphoist/api/UserApi.java
@@ -45,8 +45,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
     private static final double ACCEPT_S = 3.0;
-    /** Of a key and its conditions in a transaction. */
-    private static final int KEY_BYTES = 200;
     /** A look at what a job waits for may be so old, as a share of the time that a cancellation has. */
     private static final double RECENT = 0.25;
     /** Kept free in a value, for what a job's end adds to it. */
@@ -134,7 +132,7 @@
             return;
         }
         committer.submit(new Committer.Write(List.of(new StateClient.Condition(Keys.job(job.id()), 0)),
-                List.of(new StateClient.Change(Keys.job(job.id()), record, 0)), bytes + KEY_BYTES, loop.now() + ACCEPT_S, true, false,
+                List.of(new StateClient.Change(Keys.job(job.id()), record, 0)), bytes + Committer.KEY_BYTES, loop.now() + ACCEPT_S, true, false,
                 (outcome, revision) -> {
                     switch (outcome) {
                         case STORED -> {
@@ -281,7 +279,7 @@
         }
         ObjectNode record = Records.cancelled(job, mostValueBytes);
         committer.submit(new Committer.Write(List.of(new StateClient.Condition(Keys.job(job.id()), job.version())),
-                List.of(new StateClient.Change(Keys.job(job.id()), record, 0)), Cbor.encodeJson(record).length + KEY_BYTES,
+                List.of(new StateClient.Change(Keys.job(job.id()), record, 0)), Cbor.encodeJson(record).length + Committer.KEY_BYTES,
                 loop.now() + ACCEPT_S, true, false, (outcome, revision) -> {
                     switch (outcome) {
                         case STORED -> {
--- a/src/main/java/io/kelphoist/core/Dependencies.java
+++ b/src/main/java/io/kelphoist/core/Dependencies.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -151,26 +152,22 @@
 
     /** What it needs becomes as urgent as it is. */
     private void lend(Job job) {
-        Deque<Job> left = new ArrayDeque<>(List.of(job));
-        while (!left.isEmpty()) {
-            Job dependent = left.poll();
-            for (String need : dependent.spec.needs()) {
-                Job needed = jobs.get(need);
-                if (needed != null && needed.open() && older(needed, dependent) && needed.inherit(dependent)) {
-                    left.add(needed);
-                }
-            }
-        }
+        upwards(job, Job::inherit);
     }
 
     /** It is urgent for nobody any more: what it needs is as urgent as the others say. */
     private void takeBack(Job job) {
+        upwards(job, (needed, dependent) -> borrowAnew(needed));
+    }
+
+    /** Goes from a job to what it needs, and on from there as long as that changes. */
+    private void upwards(Job job, BiPredicate<Job, Job> changes) {
         Deque<Job> left = new ArrayDeque<>(List.of(job));
         while (!left.isEmpty()) {
             Job dependent = left.poll();
             for (String need : dependent.spec.needs()) {
                 Job needed = jobs.get(need);
-                if (needed != null && needed.open() && older(needed, dependent) && borrowAnew(needed)) {
+                if (needed != null && needed.open() && older(needed, dependent) && changes.test(needed, dependent)) {
                     left.add(needed);
                 }
             }
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -31,8 +31,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Store.class);
     private static final double PATIENCE_S = 20;
     private static final int HOLD_MS = 8000;
-    /** Of a key and its conditions in a transaction. */
-    private static final int KEY_BYTES = 200;
 
     private final StateClient state;
     private final Committer committer;
@@ -189,7 +187,7 @@
      */
     private void own(String key, ObjectNode value, Consumer<PageOutcome> stored) {
         write(false, List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)),
-                Cbor.encodeJson(value).length + KEY_BYTES, (outcome, revision) -> {
+                Cbor.encodeJson(value).length + Committer.KEY_BYTES, (outcome, revision) -> {
                     if (outcome == Committer.Outcome.STORED) {
                         versions.put(key, revision);
                         stored.accept(PageOutcome.STORED);
@@ -245,7 +243,7 @@
     private void end(boolean urgent, JobRecord ended, ObjectNode value) {
         String job = ended.id();
         write(urgent, List.of(new StateClient.Condition(Keys.job(job), ended.version())), List.of(new StateClient.Change(Keys.job(job), value, 0)),
-                Cbor.encodeJson(value).length + KEY_BYTES, (outcome, revision) -> {
+                Cbor.encodeJson(value).length + Committer.KEY_BYTES, (outcome, revision) -> {
                     if (outcome == Committer.Outcome.STORED) {
                         cluster.onJob(new JobRecord(job, ended.spec(), ended.status(), ended.atMs(), revision), 0, loop.now());
                         return;
--- a/src/main/java/io/kelphoist/state/Committer.java
+++ b/src/main/java/io/kelphoist/state/Committer.java
@@ -47,6 +47,8 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
+    /** What a key and its conditions take in a transaction, at the most. */
+    public static final int KEY_BYTES = 200;
     private static final int MOST_BYTES = 48 * 1024;
     /** Conditions that a transaction may have for each change that it may have. */
     private static final int CONDITIONS_PER_OP = 4;
