--- a/src/test/java/io/kelphoist/daemon/EndToEndTest.java
+++ b/src/test/java/io/kelphoist/daemon/EndToEndTest.java
@@ -192,6 +192,20 @@
         assertEquals("queued", status(serving.get(0), "job-54"));
     }
 
+    /** A leader of the version before asks for grants and tells what runs; this one answers as that version expects. */
+    @Test
+    void answersALeaderOfTheVersionBefore() throws Exception {
+        assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-65", "batch", 1)).statusCode());
+        state.await("j/job-65", v -> v.path("status").asText().equals("done"));
+        byte[] asks = "{\"jobs\":{\"job-66\":[1,2]},\"term\":1,\"from\":\"b\",\"state_ok\":true}".getBytes(StandardCharsets.UTF_8);
+        for (Settings s : settings) {
+            HttpResponse<byte[]> r = call(s.peerListen(), "POST", "/peer/grant", asks);
+            assertEquals(200, r.statusCode());
+            ObjectNode answer = Cbor.decodeJson(r.body());
+            assertTrue(answer.path("granted").isBoolean() && answer.path("state_ok").asBoolean(), answer.toString());
+        }
+    }
+
     @Test
     void runsChains() throws Exception {
         assertEquals(201, insist(serving.get(0), "POST", "/work", job("job-62", "batch", 3)).statusCode());
--- a/src/test/java/io/kelphoist/wire/CodecTest.java
+++ b/src/test/java/io/kelphoist/wire/CodecTest.java
@@ -14,8 +14,10 @@
 import io.kelphoist.core.JobSpec;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.MachineReport;
+import io.kelphoist.core.StartedTask;
 import io.kelphoist.core.TaskPhase;
 import io.kelphoist.core.TaskProgress;
+import io.kelphoist.core.TaskRef;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
 import java.nio.charset.StandardCharsets;
@@ -70,6 +72,7 @@
         "\"rig\":\"array\"", "\"tide\":\"production\"", "\"fronds\":0", "\"fronds\":100001", "\"fronds\":2.5", "\"fronds\":-1",
         "\"fronds\":18446744073709551616", "\"cpus\":-0.1", "\"cpus\":\"8\"", "\"cpus\":null", "\"ram_gb\":true",
         "\"hulls\":\"g8\"", "\"hulls\":[1]", "\"bed\":4", "\"same_place\":\"yes\"", "\"same_place\":null", "\"spore\":[]",
+        "\"holdfast\":\"job-1\"", "\"holdfast\":{}", "\"holdfast\":[7]", "\"holdfast\":[\"job-1\",\"job-\"]", "\"holdfast\":[\"job-000412\"]",
         "\"landfall_s\":-5", "\"landfall_s\":\"soon\""})
     void refusesBadFields(String field) throws BadMessage {
         ObjectNode m = cbor(JOB);
@@ -143,6 +146,62 @@
         assertArrayEquals(Cbor.encodeJson(expected), Cbor.encodeJson(answer));
     }
 
+    /** Records as the version without chains wrote them: read with their meaning, and written the same where no chain is. */
+    @Test
+    void readsAndWritesTheRecordsOfTheVersionBefore() throws BadMessage {
+        String spec = """
+                {"name_id":"job-7","catch":"c","crew":"t","rig":"batch","tide":"normal","fronds":3,"cpus":1.0,"accelerators":1.0,\
+                "ram_gb":2.0,"spore":"i","image_gb":1.5,"hulls":["m"],"bed":"z","same_place":false,"scatter":false,"driftwood":true,\
+                "haul_s":60.0,"mooring_s":0.0,"stow_s":0.0,"landfall_s":90.0}""";
+        String active = "{\"status\":\"active\",\"at\":5,\"spec\":" + spec + "}";
+        JobRecord job = Records.job("j/job-7", cbor(active), 9);
+        assertEquals(List.of(), job.spec().needs());
+        assertEquals(5, job.atMs());
+        assertEquals(active, json(Records.job(job.spec(), 5)));
+        assertEquals(active.replace("active", "cancelled"), json(Records.cancelled(job, 4096)));
+        assertEquals(JobStatus.CANCELLED, Records.job("j/job-7", cbor(active.replace("active", "cancelled")), 10).status());
+        JobRecord done = Records.job("j/job-7", cbor("{\"status\":\"done\"}"), 11);
+        assertEquals(JobStatus.DONE, done.status());
+        assertEquals(0, done.atMs());
+        assertEquals("{\"status\":\"done\",\"at\":12}", json(Records.done(12)));
+        List<StartedTask> starts = Records.starts(cbor("{\"vm-1\":[\"m\",\"z\",true,\"job-7/0\",\"job-8/12\"]}"));
+        assertEquals(List.of(new StartedTask("vm-1", "m", "z", true, new TaskRef("job-7", 0)),
+                new StartedTask("vm-1", "m", "z", true, new TaskRef("job-8", 12))), starts);
+        String progress = "{\"job-7/0\":\"BQ==\"}";
+        assertEquals(progress, json(Records.progress(Records.progress(cbor(progress)))));
+        assertEquals("{0, 2}", Records.progress(cbor(progress)).get(0).done().toString());
+        String images = "{\"vm-1\":{\"i\":1.5,\"k\":2.0}}";
+        assertEquals(images, json(Records.images(Records.images(cbor(images)))));
+    }
+
+    private static String json(ObjectNode m) {
+        return new String(Cbor.encodeJson(m), StandardCharsets.UTF_8);
+    }
+
+    /** What the state service would refuse by now loses what no longer counts, and the version before can read it. */
+    @Test
+    void cancelledRecordFitsTheLimit() throws BadMessage {
+        ObjectNode m = cbor(JOB).put("spore", "i".repeat(3000));
+        m.withArray("holdfast").add("job-1").add("job-2").add("job-1");
+        JobSpec spec = Codec.job(m);
+        assertEquals(List.of("job-1", "job-2"), spec.needs());
+        ObjectNode record = Records.cancelled(new JobRecord(spec.id(), spec, JobStatus.ACTIVE, 5, 9), 1024);
+        assertTrue(Cbor.encodeJson(record).length <= 1024);
+        JobRecord read = Records.job(Keys.job(spec.id()), record, 10);
+        assertEquals(JobStatus.CANCELLED, read.status());
+        assertEquals(spec.perTask(), read.spec().perTask());
+    }
+
+    /** Nobody wrote this: the job is known, and needs what can't be. */
+    @Test
+    void unreadableDependenciesNeverLookLikeNone() throws BadMessage {
+        ObjectNode stored = Records.job(Codec.job(cbor(JOB)), 5);
+        ((ObjectNode) stored.get("spec")).put("holdfast", "job-1");
+        JobSpec spec = Records.job("j/job-000412", stored, 9).spec();
+        assertEquals(1, spec.needs().size());
+        assertTrue(!Codec.isJobId(spec.needs().get(0)));
+    }
+
     @Test
     void recordsComeBackAsStored() throws BadMessage {
         JobSpec spec = Codec.job(cbor(JOB));
