--- a/src/main/java/io/kelphoist/api/UserApi.java
+++ b/src/main/java/io/kelphoist/api/UserApi.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -116,7 +117,8 @@
             }
         }
         if (unsure) {
-            refuseUnlessKnown(exchange, job, 503, "what it needs can't be looked up");
+            // Whether it is known already does not depend on what it needs.
+            unlessKnown(exchange, job, () -> HttpServing.retryLater(exchange, 1));
         } else {
             accept(exchange, job, cancelled);
         }
@@ -140,7 +142,7 @@
                             HttpServing.cbor(exchange, 201, Codec.accepted(job.id(), cancelled ? "aborted" : "queued"));
                         }
                         // Known already, or unsure: what is stored decides.
-                        case CONFLICT, UNSURE -> refuseUnlessKnown(exchange, job, 503, "it is not known whether it is stored");
+                        case CONFLICT, UNSURE -> unlessKnown(exchange, job, () -> HttpServing.retryLater(exchange, 1));
                         case TOO_LARGE -> refuseUnlessKnown(exchange, job, 400, "its description is too large to be stored");
                         case REFUSED -> HttpServing.retryLater(exchange, 1);
                     }
@@ -149,12 +151,23 @@
 
     /** An accepted job keeps its answer, even if it could not be accepted today. */
     private void refuseUnlessKnown(HttpServerExchange exchange, JobSpec job, int status, String why) {
-        lookup.read(job.id(), found -> {
+        unlessKnown(exchange, job, () -> {
+            LOG.info("job {} is refused: {}", job.id(), why);
+            HttpServing.refuse(exchange, status, why);
+        });
+    }
+
+    private void unlessKnown(HttpServerExchange exchange, JobSpec job, Runnable absent) {
+        record(exchange, job.id(), known -> answer(exchange, known), absent);
+    }
+
+    /** What to do with a job's record, or where there surely is none; unsure, the user asks again. */
+    private void record(HttpServerExchange exchange, String id, Consumer<JobRecord> known, Runnable absent) {
+        lookup.read(id, found -> {
             if (found instanceof JobLookup.Known k) {
-                answer(exchange, k.record());
-            } else if (found instanceof JobLookup.Absent && status != 503) {
-                LOG.info("job {} is refused: {}", job.id(), why);
-                HttpServing.refuse(exchange, status, why);
+                known.accept(k.record());
+            } else if (found instanceof JobLookup.Absent) {
+                absent.run();
             } else {
                 HttpServing.retryLater(exchange, 1);
             }
@@ -192,15 +205,7 @@
             HttpServing.status(exchange, 404);
             return;
         }
-        lookup.read(id, found -> {
-            if (found instanceof JobLookup.Known k) {
-                answer(exchange, k.record());
-            } else if (found instanceof JobLookup.Absent) {
-                HttpServing.status(exchange, 404);
-            } else {
-                HttpServing.retryLater(exchange, 1);
-            }
-        });
+        record(exchange, id, known -> answer(exchange, known), () -> HttpServing.status(exchange, 404));
     }
 
     /** The state of a job; of one that waits, only after a look at what it waits for. */
@@ -217,7 +222,8 @@
                     if (atOnce[0]) {
                         say(exchange, record);
                     } else {
-                        sayAnew(exchange, record.id());
+                        // Looking round took a while, and what was read before may be old by now.
+                        record(exchange, record.id(), known -> say(exchange, known), () -> HttpServing.retryLater(exchange, 1));
                     }
                 }
                 case CANCELLED -> cancel(exchange, record, 3);
@@ -227,17 +233,6 @@
         atOnce[0] = false;
     }
 
-    /** Looking round took a while, and what was read before may be old by now. */
-    private void sayAnew(HttpServerExchange exchange, String id) {
-        lookup.read(id, found -> {
-            if (found instanceof JobLookup.Known k) {
-                say(exchange, k.record());
-            } else {
-                HttpServing.retryLater(exchange, 1);
-            }
-        });
-    }
-
     private void say(HttpServerExchange exchange, JobRecord record) {
         Counts counts = record.status() == JobStatus.ACTIVE ? knowledge.counts(record.id()) : Counts.NONE;
         String word = switch (record.status()) {
@@ -260,15 +255,7 @@
     }
 
     private void cancel(HttpServerExchange exchange, String id, int tries) {
-        lookup.read(id, found -> {
-            if (found instanceof JobLookup.Absent) {
-                HttpServing.status(exchange, 404);
-            } else if (found instanceof JobLookup.Known k) {
-                cancel(exchange, k.record(), tries);
-            } else {
-                HttpServing.retryLater(exchange, 1);
-            }
-        });
+        record(exchange, id, known -> cancel(exchange, known, tries), () -> HttpServing.status(exchange, 404));
     }
 
     /** Nothing is called cancelled before that is stored, so that no controller says anything older afterwards. */
--- a/src/main/java/io/kelphoist/core/Pages.java
+++ b/src/main/java/io/kelphoist/core/Pages.java
@@ -42,7 +42,7 @@
 
     private static final class Page<E> {
         final int number;
-        final Set<E> entries = new ReferenceLinkedOpenHashSet<>();
+        final ReferenceLinkedOpenHashSet<E> entries = new ReferenceLinkedOpenHashSet<>();
         int bytes;
         boolean dirty;
         boolean untidy;
@@ -112,20 +112,20 @@
     void put(E entry) {
         Place<E> place = at.get(entry);
         int bytes = size.applyAsInt(entry);
-        Page<E> page = place == null ? null : place.page;
-        if (page == null) {
-            page = roomFor(bytes);
+        if (place == null) {
+            Page<E> page = roomFor(bytes);
             assign(entry, page);
-        } else if (page.bytes - place.bytes + bytes > limit && page.entries.size() > 1) {
-            page = move(entry, page, bytes);
+            page.dirty = true;
+        } else if (place.page.bytes - place.bytes + bytes > limit && place.page.entries.size() > 1) {
+            move(entry, place.page, bytes);
         } else {
-            page.bytes += bytes - place.bytes;
-            at.put(entry, new Place<>(page, bytes));
+            place.page.bytes += bytes - place.bytes;
+            at.put(entry, new Place<>(place.page, bytes));
+            place.page.dirty = true;
         }
-        page.dirty = true;
     }
 
-    private Page<E> move(E entry, Page<E> from, int bytes) {
+    private void move(E entry, Page<E> from, int bytes) {
         remove(entry);
         from.dirty = true;
         from.leaving.add(entry);
@@ -134,7 +134,6 @@
         // It may have been there long ago.
         to.stored.remove(entry);
         to.dirty = true;
-        return to;
     }
 
     /** A page whose entries wait to be stored elsewhere takes no others: so no two pages ever wait for each other. */
@@ -219,7 +218,7 @@
     /** Moves away what is too much for the page; true once it can be written with nothing off the record. */
     private boolean fits(Page<E> page) {
         while (page.bytes > limit && page.entries.size() > 1) {
-            E last = ((ReferenceLinkedOpenHashSet<E>) page.entries).last();
+            E last = page.entries.last();
             move(last, page, at.get(last).bytes);
         }
         page.leaving.removeIf(e -> !at.containsKey(e) || at.get(e).page.stored.contains(e));
