--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -118,7 +118,7 @@
         }
         if (check) {
             System.out.println("settings are fine: " + settings.node() + " of " + settings.controllers() + " controllers, "
-                    + settings.teams().size() + " teams");
+                    + settings.teams().size() + " teams; state service, now and next: " + settings.stateLimits());
             return 0;
         }
         Daemon.start(settings, own, STARTED_AT);
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -22,7 +22,7 @@
     private static final String JOB = """
             {"name_id":"%s","catch":"c","crew":"t","rig":"%s","tide":"%s","fronds":%d,"cpus":1.0,"accelerators":1.0,"ram_gb":1.0,
              "spore":"%s","image_gb":1.0,"hulls":["m"],"bed":null,"same_place":false,"scatter":false,"driftwood":%b,
-             "haul_s":1.0,"mooring_s":%d,"stow_s":1.0,"landfall_s":%s}""";
+             "haul_s":1.0,"mooring_s":%d,"stow_s":1.0,"landfall_s":%s,"holdfast":%s}""";
     private static final int ROUNDS = 8;
     private static final long ROUND_MS = 250;
     private static final int TIMEOUT_MS = 3000;
@@ -79,6 +79,7 @@
             call(users + "/healthz", null, false);
             submit(users, term, round);
             call(users + "/work/job-1", null, false);
+            call(users + "/work/job-" + term + "1", null, false);
             call(users + "/work/job-999", null, false);
             for (ObjectNode report : rehearsal.reports()) {
                 ObjectNode answer = call(users + "/v1/report", report, false);
@@ -99,10 +100,11 @@
     private static void submit(String users, int term, int round) throws IOException {
         String id = "job-" + (term == 1 && round == 0 ? "1" : "" + term + round);
         String job = switch (round) {
-            case 0, 3 -> JOB.formatted(id, "batch", "normal", 12, "i", true, 1, "9.0");
-            case 4 -> JOB.formatted(id, "ensemble", "high", 4, "k", false, 1, "null");
-            case 5 -> JOB.formatted(id, "standing", "critical", 3, "l", false, 0, "null");
-            case 6 -> JOB.formatted(id, "ensemble", "high", 2, "l", false, 0, "null");
+            case 0, 3 -> JOB.formatted(id, "batch", "normal", 12, "i", true, 1, "9.0", "null");
+            case 1 -> JOB.formatted(id, "batch", "high", 2, "i", true, 1, "9.0", "[\"job-1\"]");
+            case 4 -> JOB.formatted(id, "ensemble", "high", 4, "k", false, 1, "null", "null");
+            case 5 -> JOB.formatted(id, "standing", "critical", 3, "l", false, 0, "null", "null");
+            case 6 -> JOB.formatted(id, "ensemble", "high", 2, "l", false, 0, "null", "null");
             default -> null;
         };
         if (job != null) {
