Sockets are a budget; caretaking checked by properties; requests put off are counted by cause

What a caretaker may do had no test that brings about late messages, restarts and drifting clocks together.

Change: sockets.SocketBudget shares the platform's fd_limit out; beyond a third of it workers' connections end with their answer, orders have a fifth of it with the longest unused line closed first, and an order for which none is free goes with the next answer.

--- a/src/main/java/io/kelphoist/api/UserApi.java
+++ b/src/main/java/io/kelphoist/api/UserApi.java
@@ -18,6 +18,7 @@
 import io.kelphoist.wire.HttpServing;
 import io.undertow.server.HttpServerExchange;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,16 @@
         Counts counts(String job);
     }
 
+    /** Why a request can't be taken now, for the log and the metrics. */
+    public enum PutOff {
+        /** The machine types were never read. */
+        TYPES_UNKNOWN,
+        /** The state service can't be asked, or its record means nothing to this version. */
+        UNSURE,
+        /** The state service did not take the write. */
+        NOT_STORED
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
     private static final double ACCEPT_S = 3.0;
     /** A look at what a job waits for may be so old, as a share of the time that a cancellation has. */
@@ -58,6 +69,7 @@
     private final Map<String, Team> teams = new HashMap<>();
     private final List<String> zones;
     private final int mostValueBytes;
+    private final EnumMap<PutOff, Long> putOff = new EnumMap<>(PutOff.class);
 
     public UserApi(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, Knowledge knowledge,
                    List<Team> teams, List<String> zones, double valueKb, double cancelS) {
@@ -71,6 +83,19 @@
         this.mostValueBytes = (int) (valueKb * 1024) - SPARE_BYTES;
     }
 
+    /** How often a request was put off for this cause. */
+    public synchronized long putOff(PutOff why) {
+        return putOff.getOrDefault(why, 0L);
+    }
+
+    private void later(HttpServerExchange exchange, String job, PutOff why) {
+        synchronized (this) {
+            putOff.merge(why, 1L, Long::sum);
+        }
+        LOG.debug("{} {} is put off: {}", exchange.getRequestMethod(), job, why);
+        HttpServing.retryLater(exchange, 1);
+    }
+
     // ---- submit ----
 
     public void submit(HttpServerExchange exchange, byte[] body) {
@@ -83,7 +108,7 @@
             return;
         }
         if (knowledge.types().isEmpty()) {
-            HttpServing.retryLater(exchange, 1);
+            later(exchange, job.id(), PutOff.TYPES_UNKNOWN);
             return;
         }
         String never = whyNever(job);
@@ -118,7 +143,7 @@
         }
         if (unsure) {
             // Whether it is known already does not depend on what it needs.
-            unlessKnown(exchange, job, () -> HttpServing.retryLater(exchange, 1));
+            unlessKnown(exchange, job, () -> later(exchange, job.id(), PutOff.UNSURE));
         } else {
             accept(exchange, job, cancelled);
         }
@@ -139,12 +164,13 @@
                     switch (outcome) {
                         case STORED -> {
                             lookup.stored(new JobRecord(job.id(), job, accepted.status(), accepted.atMs(), revision));
+                            LOG.debug("job {} is accepted after {} ms here", job.id(), wallMs.getAsLong() - accepted.atMs());
                             HttpServing.cbor(exchange, 201, Codec.accepted(job.id(), cancelled ? "aborted" : "queued"));
                         }
                         // Known already, or unsure: what is stored decides.
-                        case CONFLICT, UNSURE -> unlessKnown(exchange, job, () -> HttpServing.retryLater(exchange, 1));
+                        case CONFLICT, UNSURE -> unlessKnown(exchange, job, () -> later(exchange, job.id(), PutOff.NOT_STORED));
                         case TOO_LARGE -> refuseUnlessKnown(exchange, job, 400, "its description is too large to be stored");
-                        case REFUSED -> HttpServing.retryLater(exchange, 1);
+                        case REFUSED -> later(exchange, job.id(), PutOff.NOT_STORED);
                     }
                 }));
     }
@@ -169,7 +195,7 @@
             } else if (found instanceof JobLookup.Absent) {
                 absent.run();
             } else {
-                HttpServing.retryLater(exchange, 1);
+                later(exchange, id, PutOff.UNSURE);
             }
         });
     }
@@ -223,11 +249,11 @@
                         say(exchange, record);
                     } else {
                         // Looking round took a while, and what was read before may be old by now.
-                        record(exchange, record.id(), known -> say(exchange, known), () -> HttpServing.retryLater(exchange, 1));
+                        record(exchange, record.id(), known -> say(exchange, known), () -> later(exchange, record.id(), PutOff.UNSURE));
                     }
                 }
                 case CANCELLED -> cancel(exchange, record, 3);
-                case UNAVAILABLE -> HttpServing.retryLater(exchange, 1);
+                case UNAVAILABLE -> later(exchange, record.id(), PutOff.UNSURE);
             }
         });
         atOnce[0] = false;
@@ -277,10 +303,10 @@
                             if (tries > 1) {
                                 cancel(exchange, job.id(), tries - 1);
                             } else {
-                                HttpServing.retryLater(exchange, 1);
+                                later(exchange, job.id(), PutOff.NOT_STORED);
                             }
                         }
-                        case REFUSED, TOO_LARGE -> HttpServing.retryLater(exchange, 1);
+                        case REFUSED, TOO_LARGE -> later(exchange, job.id(), PutOff.NOT_STORED);
                     }
                 }));
     }
--- a/src/main/java/io/kelphoist/config/Settings.java
+++ b/src/main/java/io/kelphoist/config/Settings.java
@@ -5,6 +5,7 @@
 import com.google.common.net.HostAndPort;
 import io.kelphoist.core.Resources;
 import io.kelphoist.core.Team;
+import io.kelphoist.sockets.SocketBudget;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,7 +19,8 @@
 /** The file that the platform hands over. Unknown fields are ignored, wrong ones are named. */
 public record Settings(
         String node, String zone, String serveOn, String peerListen, List<Peer> peers, String cloud, String state,
-        List<String> zones, List<Team> teams, Workers workers, StateLimits stateLimits, CloudLimits cloudLimits, Map<String, Double> startWithinS) {
+        List<String> zones, List<Team> teams, Workers workers, StateLimits stateLimits, CloudLimits cloudLimits, Map<String, Double> startWithinS,
+        int sockets) {
 
     public record Peer(String node, String zone, String address) { }
 
@@ -100,7 +102,12 @@
                             positive(w, "cancel_s", "cluster.workers.")),
                     stateLimits(s),
                     new CloudLimits(positive(c, "rps", "cluster.cloud."), positive(c, "list_lag_s", "cluster.cloud.")),
-                    startWithin(cluster));
+                    startWithin(cluster), sockets(cluster));
+        }
+
+        private int sockets(JsonNode cluster) throws Invalid {
+            JsonNode quota = cluster.path("quota");
+            return quota.hasNonNull("fd_limit") ? (int) Math.min(Integer.MAX_VALUE, positive(quota, "fd_limit", "cluster.quota.")) : SocketBudget.USUAL;
         }
 
         /**
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -18,6 +18,7 @@
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.TaskProgress;
 import io.kelphoist.peer.PeerCalls;
+import io.kelphoist.sockets.SocketBudget;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.StateClient;
@@ -82,6 +83,7 @@
     private double ledSince;
     private Map<String, UserApi.Counts> counts = new HashMap<>();
     private final Caretaking caretaking;
+    private final WorkerConnections connections;
     private final Reports reports;
 
     public Controller(Settings settings, OperatorSettings operator, XnioIoThread thread, ByteBufferPool buffers, double startedAt) {
@@ -108,7 +110,9 @@
                 settings.stateLimits().rps() * 0.45, this::garbage);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
         cloud = new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage);
-        workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1));
+        SocketBudget sockets = new SocketBudget(settings.sockets());
+        workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1), sockets.orderLines());
+        connections = new WorkerConnections(sockets.keptWorkers(), settings.workers().leaseS());
         Map<String, HttpCaller> callers = new HashMap<>();
         settings.peers().forEach(p -> callers.put(p.node(), caller(p.address(), HttpServing.JSON, 4)));
         peers = new PeerCalls(callers, this::garbage);
@@ -116,7 +120,7 @@
                 operator.leaderLeaseMs(), operator.grantMs(), startedAt, this);
         caretaking = new Caretaking(settings, operator.caretaking(), startedAt);
         reports = new Reports(leadership, peers, loop, counters,
-                new Routes(settings.peers().stream().map(Settings.Peer::node).toList(), settings.workers().leaseS()), caretaking, this::lead);
+                new Routes(settings.peers().stream().map(Settings.Peer::node).toList(), settings.workers().leaseS()), caretaking, connections, this::lead);
         api = new UserApi(state, committer, loop, System::currentTimeMillis, new UserApi.Knowledge() {
             @Override
             public Collection<MachineType> types() {
@@ -173,6 +177,7 @@
             caretaking.provide(cluster, store.knownUntil(), now);
         }
         workers.sweep(now);
+        connections.sweep(now);
     }
 
     /** Input often comes in bursts; one tick serves them all. */
@@ -424,6 +429,14 @@
         return leadership.election();
     }
 
+    int workerConnections() {
+        return connections.size();
+    }
+
+    int orderLines() {
+        return workers.open();
+    }
+
     int writesWaiting() {
         return committer.waiting();
     }
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -3,6 +3,7 @@
 import com.google.common.net.HostAndPort;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
+import io.kelphoist.sockets.SocketBudget;
 import io.kelphoist.wire.Codec;
 import io.kelphoist.wire.HttpServing;
 import io.undertow.Undertow;
@@ -25,6 +26,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
     private static final int PEER_BODY = 4 << 20;
     private static final int BACKLOG = 512;
+    /** Connections are taken again once there are so many fewer than the most, as a part of it. */
+    private static final int SLACK = 16;
 
     private final XnioWorker worker;
     private final Undertow server;
@@ -59,6 +62,7 @@
         HostAndPort serve = HostAndPort.fromString(settings.serveOn());
         HostAndPort listen = HostAndPort.fromString(settings.peerListen());
         Daemon[] self = new Daemon[1];
+        int most = new SocketBudget(settings.sockets()).mostIncoming();
         Undertow server = Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
@@ -67,6 +71,8 @@
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
                 .setSocketOption(Options.BACKLOG, BACKLOG)
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, most)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, Math.max(1, most - most / SLACK))
                 .setSocketOption(Options.TCP_NODELAY, true)
                 .addHttpListener(serve.getPort(), serve.getHost(), exchange -> self[0].serve(exchange))
                 .addHttpListener(listen.getPort(), listen.getHost(), peerHandler(controller))
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -1,5 +1,6 @@
 package io.kelphoist.daemon;
 
+import io.kelphoist.api.UserApi;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Machine;
@@ -7,6 +8,7 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.Locale;
 import java.util.function.ToDoubleFunction;
 
 /** Metrics in Prometheus' text format. Made at the first scrape: a controller that nobody scrapes pays nothing. */
@@ -24,12 +26,18 @@
         count("kelphoist.orders.unanswered", "Direct orders that nobody answered", c, x -> x.unanswered);
         count("kelphoist.messages.bad", "Messages and answers that could not be understood", c, x -> x.badMessages);
         count("kelphoist.errors.unexpected", "Errors that should not happen", c, x -> x.bugs);
+        for (UserApi.PutOff why : UserApi.PutOff.values()) {
+            FunctionCounter.builder("kelphoist.requests.put.off", controller.api(), api -> api.putOff(why))
+                    .description("Users' requests that got 503, by cause").tag("cause", why.name().toLowerCase(Locale.ROOT)).register(registry);
+        }
         gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
         gauge("kelphoist.term", "Last term led here", x -> x.election().term());
         gauge("kelphoist.jobs", "Unfinished jobs, on the leader", x -> cluster(x, k -> k.jobs().size()));
         gauge("kelphoist.machines", "Machines, on the leader", x -> cluster(x, k -> k.machines().size()));
         gauge("kelphoist.machines.up", "Machines that report, on the leader",
                 x -> cluster(x, k -> k.machines().stream().filter(m -> m.state() == Machine.State.UP).count()));
+        gauge("kelphoist.connections.workers", "Connections that workers keep to this controller", Controller::workerConnections);
+        gauge("kelphoist.connections.orders", "Connections to workers, for orders", Controller::orderLines);
         gauge("kelphoist.writes.waiting", "Writes that wait for the state service", Controller::writesWaiting);
     }
 
--- a/src/main/java/io/kelphoist/daemon/Reports.java
+++ b/src/main/java/io/kelphoist/daemon/Reports.java
@@ -35,16 +35,19 @@
     private final Counters counters;
     private final Routes routes;
     private final Caretaking caretaking;
+    private final WorkerConnections connections;
     private final Lead lead;
     private int parked;
 
-    Reports(Leadership leadership, PeerCalls peers, StateClient.Loop loop, Counters counters, Routes routes, Caretaking caretaking, Lead lead) {
+    Reports(Leadership leadership, PeerCalls peers, StateClient.Loop loop, Counters counters, Routes routes, Caretaking caretaking,
+            WorkerConnections connections, Lead lead) {
         this.leadership = leadership;
         this.peers = peers;
         this.loop = loop;
         this.counters = counters;
         this.routes = routes;
         this.caretaking = caretaking;
+        this.connections = connections;
         this.lead = lead;
     }
 
@@ -62,6 +65,9 @@
             return;
         }
         counters.reports++;
+        if (!connections.keep(exchange.getConnection(), loop.now())) {
+            exchange.setPersistent(false);
+        }
         handle(exchange, message, report, loop.now() + PARK_S);
     }
 
--- /dev/null
+++ b/src/test/java/io/kelphoist/care/CareWorld.java
@@ -0,0 +1,293 @@
+package io.kelphoist.care;
+
+import com.google.common.collect.ImmutableSet;
+import io.kelphoist.core.Policy;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+
+/**
+ * Two zones, three controllers and one worker as the protocol describes them, with clocks that drift, messages that are
+ * held, and processes that end: what the rules on leases are checked against. Time is true time in seconds; nobody but
+ * the checks sees it. Controller 0 leads first, from zone {@code b} or from outside it; the worker is in zone {@code b},
+ * where controller 1 is.
+ */
+final class CareWorld {
+    static final double LEASE_S = 22;
+    static final double CANCEL_S = 47;
+    private static final double STEP_S = 0.25;
+    private static final double REPORT_S = 4;
+    /** As the leader counts, see {@code Leases}. */
+    private static final double COUNTED_S = LEASE_S * (1 + 2 * Policy.DRIFT) + 0.25;
+    private static final double ENTITLED_S = 4.5;
+    private static final String WORKER = "vm-1";
+
+    private static final class Node {
+        final String name;
+        final String zone;
+        final double offset;
+        final double rate;
+        long life;
+        double bornAt;
+        Mandate mandate;
+        boolean up = true;
+
+        Node(String name, String zone, double offset, double rate) {
+            this.name = name;
+            this.zone = zone;
+            this.offset = offset;
+            this.rate = rate;
+        }
+
+        double clock(double now) {
+            return offset + now * rate;
+        }
+    }
+
+    private record Message(double at, Runnable what) { }
+
+    final Care care = Care.of(CANCEL_S, LEASE_S);
+    private final List<Node> nodes = new ArrayList<>();
+    private final PriorityQueue<Message> flying = new PriorityQueue<>(Comparator.comparingDouble(Message::at));
+    private final boolean[][] cut = new boolean[3][3];
+    private final boolean[] workerCut = new boolean[3];
+    private final Deque<Runnable> held = new ArrayDeque<>();
+    double now;
+    private Node leader;
+    private long leaderLife;
+    private double blindUntil;
+    private long term;
+    private Caretakers caretakers;
+    private double lastAnswer;
+    private double knownUntil;
+    private double entitledUntil;
+    private double workerLease = Double.NEGATIVE_INFINITY;
+    private double reportAt;
+    private long token;
+    private final double workerRate;
+    private double nextAsk;
+    /** When the user was told that the worker's job is cancelled; infinite: never. */
+    private double toldAt = Double.POSITIVE_INFINITY;
+    private boolean stopped;
+    private boolean counted;
+    int cares;
+    int losses;
+
+    CareWorld(boolean leaderInside, boolean fastClocks) {
+        double drift = fastClocks ? Policy.DRIFT : 0;
+        nodes.add(new Node("hoist-0", leaderInside ? "b" : "a", 1000, 1 + drift));
+        nodes.add(new Node("hoist-1", "b", 50, 1));
+        nodes.add(new Node("hoist-2", "a", 7000, 1 + drift / 2));
+        nodes.forEach(this::born);
+        workerRate = 1;
+        lead(nodes.get(0));
+    }
+
+    private void born(Node n) {
+        n.life++;
+        n.bornAt = now;
+        n.up = true;
+        n.mandate = new Mandate(care, n.zone, n.life);
+    }
+
+    private void lead(Node n) {
+        leader = n;
+        leaderLife = n.life;
+        term++;
+        Map<String, String> others = new LinkedHashMap<>();
+        nodes.stream().filter(o -> o != n).forEach(o -> others.put(o.name, o.zone));
+        n.mandate.outranked(term);
+        caretakers = new Caretakers(care, true, term, n.zone, others, n.clock(now));
+        lastAnswer = n.clock(now);
+        knownUntil = n.clock(now);
+        entitledUntil = now + ENTITLED_S;
+        counted = false;
+    }
+
+    // ---- what may happen ----
+
+    /** Cuts a link, or mends it: what was held is delivered then. */
+    void link(int a, int b, boolean isCut) {
+        cut[a][b] = isCut;
+        cut[b][a] = isCut;
+        if (!isCut) {
+            held.forEach(what -> flying.add(new Message(now, what)));
+            held.clear();
+        }
+    }
+
+    void workerLink(int node, boolean isCut) {
+        workerCut[node] = isCut;
+    }
+
+    void crash(int node) {
+        Node n = nodes.get(node);
+        n.up = false;
+        flying.add(new Message(now + 5, () -> born(n)));
+    }
+
+    /** Another controller takes over, once the leader's own time is surely over. */
+    void takeOver(int node) {
+        Node n = nodes.get(node);
+        if (n.up && n != leader && now >= entitledUntil) {
+            lead(n);
+        }
+    }
+
+    /** For as long as a leader's lease may last, it does not see what others store. */
+    void blind() {
+        blindUntil = now + 3;
+    }
+
+    void cancel() {
+        if (toldAt == Double.POSITIVE_INFINITY && workerLease > now) {
+            toldAt = now;
+        }
+    }
+
+    /** Time passes. */
+    void pass(double seconds) {
+        double until = now + seconds;
+        while (now < until) {
+            now += STEP_S;
+            while (!flying.isEmpty() && flying.peek().at() <= now) {
+                flying.poll().what().run();
+            }
+            step();
+            check();
+        }
+    }
+
+    // ---- how it goes on ----
+
+    private boolean mayAct() {
+        return leader.up && leader.life == leaderLife && now < entitledUntil;
+    }
+
+    private void step() {
+        Node l = leader;
+        // It holds its lease while it reaches anybody outside its zone; the last of that is all the time it has.
+        boolean alone = nodes.stream().allMatch(o -> o == l || !o.up || cut[nodes.indexOf(l)][nodes.indexOf(o)]);
+        if (l.up && l.life == leaderLife && !alone) {
+            entitledUntil = now + ENTITLED_S;
+            if (now >= blindUntil) {
+                knownUntil = l.clock(now);
+            }
+        }
+        if (mayAct() && now >= nextAsk) {
+            nextAsk = now + 0.375;
+            nodes.stream().filter(o -> o != l).forEach(this::ask);
+            Offer own = caretakers.own(except(), knownUntil, l.clock(now));
+            if (own != null) {
+                l.mandate.takeOwn(own, l.clock(now));
+            }
+        }
+        if (now >= reportAt) {
+            reportAt = now + REPORT_S;
+            report();
+        }
+    }
+
+    /** The worker's job is cancelled and the leader knows: nobody else may keep it alive. */
+    private Set<String> except() {
+        boolean cancelled = !stopped && leader.clock(toldAt) <= knownUntil;
+        boolean quiet = leader.clock(now) > lastAnswer + 1.25 * REPORT_S + 1.5;
+        return cancelled || quiet ? Set.of(WORKER) : Set.of();
+    }
+
+    private void ask(Node to) {
+        Node from = leader;
+        long askedTerm = term;
+        Caretakers asking = caretakers;
+        double sentAt = from.clock(now);
+        Offer offer = caretakers.offer(to.name, ImmutableSet.copyOf(except()), knownUntil, sentAt);
+        send(from, to, () -> {
+            double clock = to.clock(now);
+            to.mandate.heard(askedTerm, clock);
+            if (offer != null) {
+                to.mandate.take(offer, clock);
+            }
+            double caredS = to.mandate.caredAt() == Double.NEGATIVE_INFINITY ? Double.POSITIVE_INFINITY : clock - to.mandate.caredAt();
+            Caretakers.Word word = new Caretakers.Word(to.life, clock, (now - to.bornAt) * to.rate, caredS, to.mandate.seq(askedTerm));
+            send(to, from, () -> {
+                if (caretakers == asking) {
+                    asking.answered(to.name, sentAt, word, from.clock(now));
+                }
+            });
+        });
+    }
+
+    /** Delivers within a step, or, over a link that is cut, at the earliest when it is mended. */
+    private void send(Node from, Node to, Runnable what) {
+        long life = to.life;
+        Runnable arrives = () -> {
+            // A new process has new connections; but what was sent on an old one may be read by it in our worst case.
+            if (to.up && to.life >= life) {
+                what.run();
+            }
+        };
+        if (cut[nodes.indexOf(from)][nodes.indexOf(to)]) {
+            held.add(arrives);
+        } else {
+            flying.add(new Message(now + 0.01, arrives));
+        }
+    }
+
+    /** The worker tries all controllers in a round; any with the right token may answer. */
+    private void report() {
+        if (now > workerLease) {
+            token = 0;
+        }
+        for (int i = 0; i < nodes.size(); i++) {
+            Node n = nodes.get(i);
+            if (workerCut[i] || !n.up) {
+                continue;
+            }
+            if (n == leader && mayAct()) {
+                workerLease = now + LEASE_S / workerRate;
+                token = term;
+                lastAnswer = n.clock(now);
+                counted = false;
+                stopped |= n.clock(toldAt) <= knownUntil;
+                return;
+            }
+            if (now <= workerLease && n.mandate.covers(WORKER, "b", token, n.clock(now))) {
+                n.mandate.cared(n.clock(now));
+                if (n == leader) {
+                    caretakers.caredHere(n.clock(now));
+                }
+                workerLease = now + LEASE_S / workerRate;
+                cares++;
+                return;
+            }
+        }
+    }
+
+    // ---- what must hold ----
+
+    private void check() {
+        if (mayAct() && !counted) {
+            double clock = leader.clock(now);
+            if (clock >= lastAnswer + COUNTED_S && clock >= caretakers.latest(WORKER, "b", clock) + COUNTED_S) {
+                counted = true;
+                losses++;
+                if (now <= workerLease) {
+                    throw new AssertionError("counted as lost at " + now + ", its lease lasts until " + workerLease);
+                }
+            }
+        }
+        if (!stopped && now > toldAt + CANCEL_S && now <= workerLease) {
+            throw new AssertionError("cancelled at " + toldAt + ", there at " + now);
+        }
+        if (now > workerLease) {
+            // What ran there is over.
+            stopped = toldAt < Double.POSITIVE_INFINITY;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kelphoist/care/CaretakingTest.java
@@ -0,0 +1,136 @@
+package io.kelphoist.care;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Whatever is cut, held, restarted or cancelled: no lease outlives what the leader counts, nor a cancellation's time. */
+class CaretakingTest {
+    /** One step of a story: what happens, and how long nothing else does. */
+    private static void play(CareWorld world, int step) {
+        int node = step / 20 % 3;
+        boolean on = step / 60 % 2 == 0;
+        switch (step % 10) {
+            case 0, 1 -> world.link(node, (node + 1) % 3, on);
+            case 2, 3 -> world.workerLink(node, on);
+            case 4 -> world.crash(node);
+            case 5 -> world.takeOver(node);
+            case 6 -> world.cancel();
+            case 8 -> world.blind();
+            case 7 -> {
+                // The zone: whoever is in it keeps its worker, and nobody else.
+                for (int outside : new int[] {0, 2}) {
+                    world.link(1, outside, on);
+                    world.workerLink(outside, on);
+                }
+            }
+            default -> { }
+        }
+        world.pass(0.25 + step / 120);
+    }
+
+    @Property(tries = 10000, seed = "20261201")
+    void leasesEndInTime(@ForAll @Size(min = 5, max = 80) List<@IntRange(min = 0, max = 1199) Integer> story, @ForAll boolean inside,
+                         @ForAll boolean fastClocks) {
+        CareWorld world = new CareWorld(inside, fastClocks);
+        world.pass(6);
+        story.forEach(step -> play(world, step));
+        world.pass(60);
+    }
+
+    /** The properties above would hold as well if nobody ever took care, or nothing was ever counted as lost. */
+    @Test
+    void aZoneThatIsCutOffIsCaredForAndThenLost() {
+        CareWorld world = new CareWorld(false, false);
+        world.pass(10);
+        for (int outside : new int[] {0, 2}) {
+            world.link(1, outside, true);
+            world.workerLink(outside, true);
+        }
+        world.pass(25);
+        assertTrue(world.cares >= 4, world.cares + " times");
+        assertEquals(0, world.losses);
+        world.pass(25);
+        assertEquals(1, world.losses);
+    }
+
+    @Test
+    void whereACancellationLeavesNoRoomThereIsNone() {
+        assertFalse(Care.of(22, 22).any());
+        assertFalse(Care.of(24, 22).any());
+        assertTrue(Care.of(47, 22).mandateS() + 22 < 47);
+    }
+
+    /** A version that does not know of mandates may lead next, and would not reckon with them. */
+    @Test
+    void noMandateBesideAVersionWithout() {
+        Care care = Care.of(47, 22);
+        Caretakers c = new Caretakers(care, true, 3, "a", Map.of("p", "b", "q", "a"), 100);
+        Caretakers.Word word = new Caretakers.Word(1, 5, 50, Double.POSITIVE_INFINITY, 0);
+        c.answered("p", 100, word, 100.1);
+        assertEquals(null, c.offer("p", Set.of(), 100, 100.2));
+        c.answeredWithout("q", 100, 100.1);
+        assertEquals(null, c.offer("p", Set.of(), 100, 100.2));
+        c.answered("q", 101, word, 101.1);
+        assertEquals(1, c.offer("p", Set.of(), 101, 101.2).seq());
+    }
+
+    /** Before it has answered, a peer may act under an earlier leader's mandate: by the settings alone, without any record. */
+    @Test
+    void reckonsWithThePredecessorsMandates() {
+        Care care = Care.of(47, 22);
+        Caretakers c = new Caretakers(care, false, 3, "a", Map.of("p", "b"), 100);
+        assertEquals(110, c.latest("vm-1", "b", 110));
+        assertEquals(100 + care.mandateS(), c.latest("vm-1", "b", 140), 0.1);
+        assertEquals(Double.NEGATIVE_INFINITY, c.latest("vm-1", "a", 140));
+        c.answered("p", 140, new Caretakers.Word(1, 5, 50, 12, 0), 140.1);
+        assertEquals(Math.min(100 + care.mandateS(), 128.1), c.latest("vm-1", "b", 141), 0.1);
+    }
+
+    /** Only where the leader is quiet, and only under a mandate that this very process was given. */
+    @Test
+    void coversOnlyWhileTheLeaderIsQuiet() {
+        Mandate m = new Mandate(Care.of(47, 22), "b", 7);
+        m.heard(3, 100);
+        m.take(new Offer(3, 6, 1, 99.5, ImmutableSet.of()), 100);
+        assertEquals(Mandate.State.NONE, m.state(105));
+        m.take(new Offer(3, 7, 1, 99.5, ImmutableSet.of()), 100);
+        assertEquals(Mandate.State.HELD, m.state(100.5));
+        assertFalse(m.covers("vm-1", "b", 3, 101));
+        assertTrue(m.covers("vm-1", "b", 3, 102));
+        assertFalse(m.covers("vm-1", "a", 3, 102));
+        assertFalse(m.covers("vm-1", "b", 2, 102));
+        assertFalse(m.covers("vm-1", "b", 3, 99.5 + Care.of(47, 22).mandateS()));
+        assertEquals(Mandate.State.SPENT, m.state(140));
+        // A worker that has seen a newer leader ends it for all.
+        m.take(new Offer(3, 7, 2, 139.5, ImmutableSet.of()), 140);
+        assertTrue(m.covers("vm-1", "b", 3, 142));
+        assertFalse(m.covers("vm-2", "b", 4, 142));
+        assertFalse(m.covers("vm-1", "b", 3, 142));
+    }
+
+    /** What has been silent before contact was lost is counted by our own answers. */
+    @Test
+    void silentMachinesAreNobodyElses() {
+        Care care = Care.of(47, 22);
+        Caretakers c = new Caretakers(care, true, 3, "a", Map.of("p", "b"), 100);
+        c.answered("p", 100, new Caretakers.Word(1, 5, 50, Double.POSITIVE_INFINITY, 0), 100.1);
+        Offer offer = c.offer("p", Set.of("vm-1"), 101, 101);
+        assertEquals(ImmutableSet.of("vm-1"), offer.except());
+        // It may not have arrived.
+        assertEquals(110, c.latest("vm-1", "b", 110));
+        c.answered("p", 101, new Caretakers.Word(1, 6, 51, Double.POSITIVE_INFINITY, offer.seq()), 101.1);
+        assertTrue(c.latest("vm-1", "b", 110) < 101);
+        assertEquals(110, c.latest("vm-2", "b", 110));
+    }
+}
