Users' polls share their questions to the state service

Need: each poll of an unfinished job read its key.

Change: JobMirror keeps unfinished jobs and asks once a round what has changed since; who asks joins the next round, so that an answer is never older than its question. Transactions, which the limit of changes bounds anyway, no longer wait behind reads.

--- a/src/main/java/io/kelphoist/api/JobLookup.java
+++ b/src/main/java/io/kelphoist/api/JobLookup.java
@@ -5,6 +5,7 @@
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.state.Keys;
+import io.kelphoist.state.Reads;
 import io.kelphoist.state.Records;
 import io.kelphoist.state.StateClient;
 import io.kelphoist.wire.BadMessage;
@@ -40,26 +41,30 @@
         INTACT, CANCELLED, UNAVAILABLE
     }
 
-    private record Seen(JobRecord record, double at) { }
+    /** Told of a job's end. */
+    interface Finals {
+        void ended(JobRecord record);
+    }
 
     private static final Logger LOG = LoggerFactory.getLogger(JobLookup.class);
     private static final int MOST_KEPT = 4000;
     /** So many jobs are looked at for one answer; the leader follows longer chains. */
     private static final int MOST_ANCESTORS = 64;
 
-    private final StateClient state;
+    private final Reads state;
     private final StateClient.Loop loop;
     private final double recentS;
     /** Final states that were read: they never change, so they can be said even without the state service. */
     private final Cache<String, JobStatus> finals = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
-    private final Cache<String, Seen> active = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
+    private final JobMirror mirror;
     private final Map<String, List<Consumer<Found>>> asked = new HashMap<>();
 
     /** @param recentS how old a recent answer may be */
-    JobLookup(StateClient state, StateClient.Loop loop, double recentS) {
+    JobLookup(Reads state, StateClient.Loop loop, double recentS) {
         this.state = state;
         this.loop = loop;
         this.recentS = recentS;
+        this.mirror = new JobMirror(state, loop, this::ended);
     }
 
     /** What is stored now. */
@@ -69,6 +74,27 @@
             handler.accept(new Known(new JobRecord(id, null, known, 0, 0)));
             return;
         }
+        if (mirror.get(id) == null) {
+            ask(id, handler);
+            return;
+        }
+        mirror.join(round -> {
+            JobStatus ended = finals.getIfPresent(id);
+            JobRecord record = mirror.get(id);
+            if (ended != null) {
+                handler.accept(new Known(new JobRecord(id, null, ended, 0, 0)));
+            } else if (round == JobMirror.Round.UNAVAILABLE) {
+                handler.accept(new Unavailable());
+            } else if (round == JobMirror.Round.CURRENT && record != null) {
+                handler.accept(new Known(record));
+            } else {
+                ask(id, handler);
+            }
+        });
+    }
+
+    private void ask(String id, Consumer<Found> handler) {
+        long epoch = mirror.epoch();
         state.get(Keys.job(id), result -> {
             Found found = new Unavailable();
             if (result instanceof StateClient.Done d && d.status() == 404) {
@@ -76,7 +102,11 @@
             } else if (result instanceof StateClient.Done d && d.status() == 200) {
                 try {
                     JobRecord record = Records.job(Keys.job(id), d.body().path("value"), d.body().path("entry").asLong());
-                    stored(record);
+                    if (record.status().isFinal()) {
+                        ended(record);
+                    } else {
+                        mirror.read(record, epoch);
+                    }
                     found = new Known(record);
                 } catch (BadMessage e) {
                     LOG.error("record of {}: {}", id, e.getMessage());
@@ -89,9 +119,9 @@
 
     /** What was stored a moment ago: a job that ran may have ended since. */
     void recent(String id, Consumer<Found> handler) {
-        Seen seen = active.getIfPresent(id);
-        if (seen != null && loop.now() - seen.at <= recentS && finals.getIfPresent(id) == null) {
-            handler.accept(new Known(seen.record));
+        JobRecord seen = mirror.get(id);
+        if (seen != null && mirror.ageS() <= recentS && finals.getIfPresent(id) == null) {
+            handler.accept(new Known(seen));
             return;
         }
         List<Consumer<Found>> waiting = asked.get(id);
@@ -110,16 +140,20 @@
         read(id, found -> asked.remove(id).forEach(h -> h.accept(found)));
     }
 
-    /** A job's record was read or written here. */
+    /** A job's record was written here. */
     void stored(JobRecord record) {
         if (record.status().isFinal()) {
-            finals.put(record.id(), record.status());
-            active.invalidate(record.id());
+            ended(record);
         } else {
-            active.put(record.id(), new Seen(record, loop.now()));
+            mirror.written(record);
         }
     }
 
+    private void ended(JobRecord record) {
+        finals.put(record.id(), record.status());
+        mirror.ended(record.id());
+    }
+
     /** All of them, in their order. */
     void recent(List<String> ids, Consumer<List<Found>> handler) {
         Found[] found = new Found[ids.size()];
--- a/src/main/java/io/kelphoist/state/Committer.java
+++ b/src/main/java/io/kelphoist/state/Committer.java
@@ -159,7 +159,8 @@
             w.conditions().forEach(c -> conditions.put(c.key(), c));
             changes.addAll(w.changes());
         }
-        state.txn(List.copyOf(conditions.values()), changes, false, result -> {
+        // Bounded by the limit of changes: what users ask for waits rather than what they submit.
+        state.txn(List.copyOf(conditions.values()), changes, true, result -> {
             busy = false;
             if (result instanceof StateClient.Done d && d.status() == 200) {
                 long revision = d.body().path("logbook").asLong();
--- a/src/main/java/io/kelphoist/state/StateClient.java
+++ b/src/main/java/io/kelphoist/state/StateClient.java
@@ -13,7 +13,7 @@
 import java.util.function.Consumer;
 
 /** The state service by its protocol. Requests count against its limits; renewals go first. */
-public final class StateClient {
+public final class StateClient implements Reads {
     /** How a request ended. */
     public sealed interface Result { }
 
@@ -63,11 +63,13 @@
         return Double.isNaN(failingSince) ? 0 : loop.now() - failingSince;
     }
 
+    @Override
     public void get(String key, Consumer<Result> handler) {
         send("GET", "/kv/" + key, null, false, handler);
     }
 
-    /** All items below a prefix, page by page. Null: it could not be read. */
+    /** Page by page. */
+    @Override
     public void range(String prefix, Consumer<Range> handler) {
         page(prefix, "", new ArrayList<>(), -1, handler);
     }
@@ -129,6 +131,11 @@
         send("DELETE", "/leases/" + lease, null, true, r -> { });
     }
 
+    @Override
+    public void changes(String prefix, long after, Consumer<Result> handler) {
+        send("GET", "/changes?starts=" + encode(prefix) + "&after=" + after, null, false, handler);
+    }
+
     public void watch(String prefix, long after, int holdMs, Consumer<Result> handler) {
         requests.force(1, loop.now());
         watches.call("GET", "/changes?starts=" + encode(prefix) + "&after=" + after + "&hold_ms=" + holdMs, null, holdMs + 3000,
--- /dev/null
+++ b/src/test/java/io/kelphoist/api/FreshReadsTest.java
@@ -0,0 +1,232 @@
+package io.kelphoist.api;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.core.JobKind;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.Priority;
+import io.kelphoist.core.Resources;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.Reads;
+import io.kelphoist.state.Records;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.Cbor;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Answers that many askers share are never older than the question: against a store whose answers come late and mixed. */
+class FreshReadsTest {
+    private static final int JOBS = 6;
+
+    private record Change(long revision, String id, ObjectNode value) { }
+
+    private record Later(double at, long order, Runnable what) { }
+
+    /** A store with revisions. A request is handled some time after it was sent, and its answer comes some time after that. */
+    private static final class World implements Reads, StateClient.Loop {
+        private final PriorityQueue<Later> later = new PriorityQueue<>(Comparator.comparingDouble(Later::at).thenComparing(Later::order));
+        private final TreeMap<String, Change> stored = new TreeMap<>();
+        private final List<Change> changes = new ArrayList<>();
+        private final List<String> asked = new ArrayList<>();
+        private double now;
+        private long order;
+        private long revision = 10;
+        private long oldest;
+        private int delay;
+        private boolean down;
+
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public void after(double seconds, Runnable task) {
+            later.add(new Later(now + seconds, order++, task));
+        }
+
+        void pass(double seconds) {
+            double until = now + seconds;
+            while (!later.isEmpty() && later.peek().at <= until) {
+                Later next = later.poll();
+                now = Math.max(now, next.at);
+                next.what.run();
+            }
+            now = until;
+        }
+
+        private double wait(int salt) {
+            delay = (delay * 31 + salt) % 997;
+            return delay % 29 / 60.0;
+        }
+
+        private void handle(Runnable what) {
+            after(wait(7), what);
+        }
+
+        private <T> void answer(Consumer<T> handler, T result) {
+            after(wait(11), () -> handler.accept(result));
+        }
+
+        long put(String id, ObjectNode value) {
+            Change c = new Change(++revision, id, value);
+            stored.put(id, c);
+            changes.add(c);
+            return revision;
+        }
+
+        @Override
+        public void get(String key, Consumer<StateClient.Result> handler) {
+            asked.add("get");
+            handle(() -> {
+                Change c = stored.get(key.substring(Keys.JOBS.length()));
+                if (down) {
+                    answer(handler, new StateClient.Refused(false));
+                } else if (c == null) {
+                    answer(handler, new StateClient.Done(404, Cbor.map().put("logbook", revision)));
+                } else {
+                    ObjectNode m = Cbor.map().put("entry", c.revision);
+                    m.set("value", c.value);
+                    answer(handler, new StateClient.Done(200, m));
+                }
+            });
+        }
+
+        @Override
+        public void range(String prefix, Consumer<StateClient.Range> handler) {
+            asked.add("range");
+            handle(() -> answer(handler, down ? null : new StateClient.Range(List.of(), revision)));
+        }
+
+        @Override
+        public void changes(String prefix, long after, Consumer<StateClient.Result> handler) {
+            asked.add("changes");
+            handle(() -> {
+                if (down) {
+                    answer(handler, new StateClient.Refused(false));
+                    return;
+                }
+                if (after < oldest) {
+                    answer(handler, new StateClient.Done(410, Cbor.map()));
+                    return;
+                }
+                ObjectNode m = Cbor.map().put("logbook", revision);
+                ArrayNode events = m.putArray("events");
+                for (Change c : changes) {
+                    if (c.revision > after) {
+                        events.addObject().put("put", Keys.job(c.id)).put("entry", c.revision).set("value", c.value);
+                    }
+                }
+                answer(handler, new StateClient.Done(200, m));
+            });
+        }
+    }
+
+    private static JobSpec spec(String id) {
+        return new JobSpec(id, "c", "t", JobKind.ARRAY, Priority.NORMAL, 1, new Resources(1, 1, 1), null, null, false, false, false, "i", 1, 1, 0,
+                0, null, List.of());
+    }
+
+    private World world;
+    private JobLookup lookup;
+    private int answers;
+
+    /** One instance plays all stories. */
+    private void begin(int salt) {
+        world = new World();
+        world.delay = salt;
+        lookup = new JobLookup(world, world, 1);
+        answers = 0;
+    }
+
+    private static int rank(JobLookup.Found found) {
+        if (found instanceof JobLookup.Known k) {
+            return k.record().status().isFinal() ? 2 : 1;
+        }
+        return found instanceof JobLookup.Absent ? 0 : 3;
+    }
+
+    private int stored(String id) {
+        Change c = world.stored.get(id);
+        return c == null ? 0 : c.value.path("status").asText().equals("active") ? 1 : 2;
+    }
+
+    private void step(int step) {
+        String id = "job-" + step % JOBS;
+        switch (step / JOBS % 16) {
+            // Accepted here: the answer to the transaction may be later than much else.
+            case 0, 1, 2 -> {
+                if (stored(id) == 0) {
+                    long revision = world.put(id, Records.job(spec(id), 1));
+                    world.after(step % 19 / 40.0, () -> lookup.stored(new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, revision)));
+                }
+            }
+            // Accepted, or touched, elsewhere.
+            case 3 -> {
+                if (stored(id) < 2) {
+                    world.put(id, Records.job(spec(id), 1));
+                }
+            }
+            case 4 -> {
+                if (stored(id) == 1) {
+                    world.put(id, step % 2 == 0 ? Records.done(1) : Records.cancelled(new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, 0), 4000));
+                }
+            }
+            case 5 -> world.oldest = step % 3 == 0 ? world.revision : world.oldest;
+            case 6 -> {
+                world.down = true;
+                world.after(0.2, () -> world.down = false);
+            }
+            default -> {
+                int least = stored(id);
+                lookup.read(id, found -> {
+                    answers++;
+                    assertTrue(rank(found) >= least, () -> id + " was called " + found + " after it was " + least);
+                    assertTrue(rank(found) == 3 || rank(found) <= stored(id), () -> id + " was called " + found);
+                });
+            }
+        }
+        world.pass(step % 23 / 200.0);
+    }
+
+    @Property(tries = 3000, seed = "20261202")
+    void neverOlderThanTheQuestion(@ForAll @Size(min = 20, max = 200) List<@IntRange(min = 0, max = 9599) Integer> story,
+                                   @ForAll @IntRange(min = 0, max = 996) int salt) {
+        begin(salt);
+        story.forEach(this::step);
+        world.pass(30);
+    }
+
+    /** A hundred polls at a time cost a few requests, not a hundred. */
+    @Test
+    void pollsShareTheirQuestions() {
+        begin(0);
+        world.put("job-1", Records.job(spec("job-1"), 1));
+        for (int round = 0; round < 3; round++) {
+            // Two to find a position and the record.
+            lookup.read("job-1", found -> answers++);
+            world.pass(1);
+        }
+        int before = world.asked.size();
+        for (int i = 0; i < 100; i++) {
+            lookup.read("job-1", found -> answers++);
+        }
+        world.pass(1);
+        assertEquals(103, answers);
+        assertTrue(world.asked.size() - before <= 2, () -> world.asked.toString());
+    }
+}
