A job ranks machines once a run; starts are stored with what users wait for

Need: with 4,000 machines (four times the load, simulated machines) a decision took 75 ms on average while the fleet came up, as each task of a job looked at every machine; and when users' writes alone filled the state service's 30 changes a second, pages of starts got less than two a second, so that tasks ran 46 s after their start (median) and not 8.

Change: Candidates ranks the offered machines for a job once and looks again only at those that something was placed on; the choice is the same. Pages of starts, which are paced where they are made, go with submissions. A small program (core.Measure, no test) tells cost by size; the debug log and metrics tell what reports and decisions take.

--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -71,14 +71,17 @@
                     }
                 }
             }
-            offer(waiting, machines, total, left, now);
+            cluster.choosing = new Candidates(machines);
+            offer(waiting, cluster.choosing, total, left, now);
+            considered += cluster.choosing.considered();
             left.sort(TEAM_ORDER);
         }
+        cluster.choosing = null;
         unplaced = left;
         preemption.run(left, now);
     }
 
-    private void offer(Map<TeamState, List<Job>> waiting, List<Machine> machines, Resources total, List<Job> left, double now) {
+    private void offer(Map<TeamState, List<Job>> waiting, Candidates machines, Resources total, List<Job> left, double now) {
         Set<TeamState> open = new LinkedHashSet<>(waiting.keySet());
         int starts = 0;
         while (!open.isEmpty() && starts < MOST_STARTS) {
@@ -107,13 +110,14 @@
     private boolean accept(Offer offer, List<Job> jobs, List<Job> left) {
         for (Iterator<Job> i = jobs.iterator(); i.hasNext();) {
             Job job = i.next();
-            considered += offer.machines().size();
             if (schedulers.get(job.spec.kind()).consider(offer, job)) {
                 if (job.pending.isEmpty()) {
+                    offer.candidates().forget(job);
                     i.remove();
                 }
                 return true;
             }
+            offer.candidates().forget(job);
             i.remove();
             left.add(job);
             if (job.spec.kind() != JobKind.ARRAY && !job.gangRan) {
--- a/src/main/java/io/kelphoist/core/ArrayScheduler.java
+++ b/src/main/java/io/kelphoist/core/ArrayScheduler.java
@@ -18,7 +18,7 @@
         if (task < 0 || !job.team.withinLimit(job.spec.perTask())) {
             return false;
         }
-        Machine m = Placing.best(offer, job);
+        Machine m = offer.candidates().best(offer, job);
         if (m == null) {
             return false;
         }
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -55,6 +55,8 @@
     private final Leases leases;
     private final Allocator allocator;
     private final Fleet fleet;
+    /** What the allocator chooses among in the run under way; null: none is. */
+    Candidates choosing;
     private long attempts;
     /** An earlier term left starts on record. */
     private boolean foundStarts;
@@ -688,10 +690,18 @@
             // For the next task another machine may be nearer to fitting, or the only one allowed.
             m.usedHold();
         }
+        touched(m);
         LOG.debug("start {}/{} attempt {} on {}, waited {} s, fetch {} s, used {}", job.spec.id(), task, attempt, m.name,
                 round(now - job.waitingSince), round(Placing.fetchSeconds(job, m)), m.used());
     }
 
+    /** Something was placed on a machine, or taken from it, while the allocator chooses. */
+    void touched(Machine m) {
+        if (choosing != null) {
+            choosing.touched(m);
+        }
+    }
+
     /** Attempts hold the term, so that no two of them are ever the same. */
     long nextAttempt() {
         return (term << 24) + ++attempts;
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -66,7 +66,7 @@
                 return false;
             }
         }
-        Machine m = Placing.best(offer, job);
+        Machine m = offer.candidates().best(offer, job);
         if (m == null) {
             return false;
         }
@@ -131,6 +131,7 @@
             if (job.team.withinGuarantee(job.team.held.plus(need))) {
                 pieces.add(new Piece(job, m));
                 m.keep(need);
+                cluster.touched(m);
                 job.team.held = job.team.held.plus(need);
             }
         }
@@ -149,6 +150,7 @@
     private boolean free(Piece piece) {
         Resources need = piece.job.spec.perTask();
         piece.machine.release(need);
+        cluster.touched(piece.machine);
         piece.job.team.held = piece.job.team.held.minus(need);
         return true;
     }
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -44,6 +44,7 @@
     double rentedAt;
     double idleSince;
     double takenAt = Double.POSITIVE_INFINITY;
+    private int version;
     boolean ordersInFlight;
     /** Gets no new work so that it can go back; takes work again when some waits. */
     boolean emptying;
@@ -132,7 +133,13 @@
         set(used, held.minus(piece));
     }
 
+    /** Differs whenever what decides about a place here may have changed. */
+    int version() {
+        return version;
+    }
+
     private void set(Resources nowUsed, Resources nowHeld) {
+        version++;
         used = nowUsed;
         held = nowHeld;
         free = type.capacity().minus(used).minus(held);
@@ -195,6 +202,7 @@
 
     void endHold() {
         if (heldFor != null) {
+            version++;
             heldFor.heldOn.remove(this);
             heldFor = null;
             heldTasks = 0;
--- a/src/main/java/io/kelphoist/core/Offer.java
+++ b/src/main/java/io/kelphoist/core/Offer.java
@@ -7,7 +7,11 @@
  * room counts as held, since nothing else is offered meanwhile; schedulers in this process answer at once, so an
  * offer never lives to be rescinded except where a gang keeps accepted pieces, see {@link GangScheduler}.
  */
-record Offer(TeamState team, List<Machine> machines, double now) {
+record Offer(TeamState team, Candidates candidates, double now) {
+    List<Machine> machines() {
+        return candidates.machines();
+    }
+
     /** Machines of the offer on which one task of the job may start, constraints and room considered. */
     boolean allows(Job job, Machine m) {
         return job.spec.perTask().fitsIn(m.free()) && !m.heldForOther(job, now) && Placing.allowed(job, m);
--- a/src/main/java/io/kelphoist/core/Placing.java
+++ b/src/main/java/io/kelphoist/core/Placing.java
@@ -66,19 +66,4 @@
         }
         return cost;
     }
-
-    static Machine best(Offer offer, Job job) {
-        Machine best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        for (Machine m : offer.machines()) {
-            if (offer.allows(job, m)) {
-                double cost = cost(job, m);
-                if (cost < bestCost) {
-                    bestCost = cost;
-                    best = m;
-                }
-            }
-        }
-        return best;
-    }
 }
--- a/src/main/java/io/kelphoist/core/ServiceScheduler.java
+++ b/src/main/java/io/kelphoist/core/ServiceScheduler.java
@@ -16,7 +16,7 @@
         if (task < 0 || !job.team.withinLimit(job.spec.perTask())) {
             return false;
         }
-        Machine m = Placing.best(offer, job);
+        Machine m = offer.candidates().best(offer, job);
         if (m == null || preemption.beats(Placing.fetchSeconds(job, m), job, offer.now()) && m.heldFor() != job) {
             return false;
         }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -50,6 +50,7 @@
     /** After a decision the loop is left to others for so many times as long. */
     private static final double DECISION_SHARE = 2;
     private static final double TYPES_EVERY_S = 45;
+    private static final double LOAD_EVERY_S = 5;
     private static final double NEWS_EVERY_S = 1.0;
     private static final int STATE_CONNECTIONS = 6;
 
@@ -81,6 +82,7 @@
     private boolean listAsked;
     private double newsAt;
     private double ledSince;
+    private double loadAt;
     private Map<String, UserApi.Counts> counts = new HashMap<>();
     private final Caretaking caretaking;
     private final WorkerConnections connections;
@@ -160,12 +162,24 @@
         tick();
     }
 
+    /** What the leader's time went into, for whoever looks for a slow one. */
+    private void tellLoad(double now) {
+        if (now >= loadAt) {
+            loadAt = now + LOAD_EVERY_S;
+            LOG.debug("load so far: {} reports in {} s, {} decisions in {} s, {} connections of workers, {} to workers, "
+                    + "{} writes waiting", counters.reports, counters.reportS, counters.decisions, counters.decisionS, connections.size(),
+                    workers.open(), committer.waiting());
+        }
+    }
+
     private void tick() {
         double now = loop.now();
         leadership.tick();
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER && cluster != null && loaded && election.mayAct(now)) {
             cluster.tick(now);
+            counters.decisions++;
+            counters.decisionS += loop.now() - now;
             // A decision over a large fleet takes a while, above all in a process that just began: reports go first.
             nextDecision = now + DECISION_SHARE * (loop.now() - now);
             if (cluster.deposed()) {
@@ -175,6 +189,7 @@
             askCloud(now);
             handOverIfCutOff(now);
             caretaking.provide(cluster, store.knownUntil(), now);
+            tellLoad(now);
         }
         workers.sweep(now);
         connections.sweep(now);
@@ -382,6 +397,7 @@
             return report.token() > election.term() ? null : Codec.answer(election.term(), List.of());
         }
         List<Command> commands = cluster.onReport(report, now);
+        counters.reportS += loop.now() - now;
         soon();
         return commands == null ? null : Codec.answer(election.term(), commands);
     }
--- a/src/main/java/io/kelphoist/daemon/Counters.java
+++ b/src/main/java/io/kelphoist/daemon/Counters.java
@@ -9,5 +9,9 @@
     volatile long unanswered;
     volatile long badMessages;
     volatile long bugs;
+    /** What reports and decisions took on the leader's loop, in seconds. */
+    volatile double reportS;
+    volatile long decisions;
+    volatile double decisionS;
     double directReportAt;
 }
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -62,7 +62,7 @@
         HostAndPort serve = HostAndPort.fromString(settings.serveOn());
         HostAndPort listen = HostAndPort.fromString(settings.peerListen());
         Daemon[] self = new Daemon[1];
-        int most = new SocketBudget(settings.sockets()).mostIncoming();
+        int most = new SocketBudget(settings.sockets()).mostIncoming(BACKLOG);
         Undertow server = Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -26,6 +26,9 @@
         count("kelphoist.orders.unanswered", "Direct orders that nobody answered", c, x -> x.unanswered);
         count("kelphoist.messages.bad", "Messages and answers that could not be understood", c, x -> x.badMessages);
         count("kelphoist.errors.unexpected", "Errors that should not happen", c, x -> x.bugs);
+        count("kelphoist.decisions", "Decisions of the leader", c, x -> x.decisions);
+        count("kelphoist.decisions.seconds", "Time that decisions took", c, x -> x.decisionS);
+        count("kelphoist.reports.seconds", "Time that the leader took over reports", c, x -> x.reportS);
         for (UserApi.PutOff why : UserApi.PutOff.values()) {
             FunctionCounter.builder("kelphoist.requests.put.off", controller.api(), api -> api.putOff(why))
                     .description("Users' requests that got 503, by cause").tag("cause", why.name().toLowerCase(Locale.ROOT)).register(registry);
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -196,8 +196,8 @@
      * Puts a key that only leaders write. A transaction can be applied late, and must not bring an older value back:
      * each write is conditional on the version that was last known, which is read again when in doubt.
      */
-    private void own(String key, ObjectNode value, Consumer<PageOutcome> stored) {
-        write(false, List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)),
+    private void own(String key, ObjectNode value, boolean urgent, Consumer<PageOutcome> stored) {
+        write(urgent, List.of(new StateClient.Condition(key, versions.getOrDefault(key, 0L))), List.of(new StateClient.Change(key, value, 0)),
                 Cbor.encodeJson(value).length + Committer.KEY_BYTES, (outcome, revision) -> {
                     if (outcome == Committer.Outcome.STORED) {
                         versions.put(key, revision);
@@ -229,15 +229,16 @@
     }
 
     void progress(int page, List<TaskProgress> progress) {
-        own(Keys.page(Keys.PROGRESS, page), Records.progress(progress), end -> cluster.onProgressStored(page, end));
+        own(Keys.page(Keys.PROGRESS, page), Records.progress(progress), false, end -> cluster.onProgressStored(page, end));
     }
 
+    /** With what users wait for: a page holds back dozens of tasks, and its share of the limit is bounded where it is made. */
     void starts(int page, List<Placement> starts) {
-        own(Keys.page(Keys.STARTS, page), Records.starts(starts, cluster::zoneName), end -> cluster.onStartsStored(page, end));
+        own(Keys.page(Keys.STARTS, page), Records.starts(starts, cluster::zoneName), true, end -> cluster.onStartsStored(page, end));
     }
 
     void images(int page, List<Machine> machines) {
-        own(Keys.page(Keys.IMAGES, page), Records.images(machines.stream().map(cluster::imagesOn).toList()),
+        own(Keys.page(Keys.IMAGES, page), Records.images(machines.stream().map(cluster::imagesOn).toList()), false,
                 end -> cluster.onImagesStored(page, end));
     }
 
--- a/src/main/java/io/kelphoist/sockets/SocketBudget.java
+++ b/src/main/java/io/kelphoist/sockets/SocketBudget.java
@@ -26,8 +26,12 @@
         return Math.max(1, (int) (ORDERS * limit));
     }
 
-    /** Connections from outside at which no more are taken: those that come wait, and none of our own fails. */
-    public int mostIncoming() {
-        return Math.max(1, limit - orderLines() - OWN);
+    /**
+     * Connections from outside at which no more are taken: those that come wait, and none of our own fails.
+     *
+     * @param backlog so many may wait, which counts as well
+     */
+    public int mostIncoming(int backlog) {
+        return Math.max(limit / 4, limit - orderLines() - OWN - backlog);
     }
 }
--- /dev/null
+++ b/src/test/java/io/kelphoist/core/Measure.java
@@ -0,0 +1,191 @@
+package io.kelphoist.core;
+
+import java.lang.management.ManagementFactory;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What a leader's core costs by the number of machines; a program, not a test. Workers, cloud and state service answer at
+ * once. {@code mvn -q test-compile exec:java -Dexec.mainClass=io.kelphoist.core.Measure -Dexec.classpathScope=test}
+ */
+public final class Measure implements Effects {
+    private static final int[] SIZES = {250, 500, 1000, 2000, 4000};
+    private static final int PER_MACHINE = 4;
+    private static final double REPORT_S = 4;
+    private final int size;
+    private final List<Team> teams = new ArrayList<>();
+    private final MachineType type = new MachineType("m", new Resources(24, PER_MACHINE, 96), 50, 0.6, 8, 3, 25, List.of("a", "b"));
+    private final Map<String, Map<String, Long>> running = new HashMap<>();
+    private final Deque<Runnable> answers = new ArrayDeque<>();
+    private final Histogram reports = new Histogram(3);
+    private final Histogram decisions = new Histogram(3);
+    private final List<JobRecord> jobs = new ArrayList<>();
+    private final Map<Integer, List<StartedTask>> pages = new HashMap<>();
+    private Cluster cluster;
+    private double now;
+    private long seq;
+    private long version;
+
+    private Measure(int size) {
+        this.size = size;
+        Resources none = new Resources(Double.POSITIVE_INFINITY, size, Double.POSITIVE_INFINITY);
+        for (int i = 0; i < 12; i++) {
+            teams.add(new Team("team-" + i, none, none));
+        }
+    }
+
+    public static void main(String[] args) {
+        System.out.println("machines  take-over ms  report us (p50, p99)  decision ms (p50, p99, max)  looks a decision  heap MB");
+        new Measure(SIZES[0]).run(false);
+        for (int size : SIZES) {
+            new Measure(size).run(true);
+        }
+    }
+
+    private void begin(long term) {
+        Policy policy = new Policy(List.of("a", "b"), teams, REPORT_S, 22, 8, 5, 3, 20, 15, 0, 40, 4000, 0.1, 0.5, Map.of());
+        cluster = new Cluster(policy, this, OtherAnswers.NONE, term, List.of(type), now);
+    }
+
+    private JobRecord job(int number, int tasks, JobKind kind) {
+        JobSpec spec = new JobSpec("job-" + number, "c" + number % 3, "team-" + number % 12, kind, Priority.NORMAL, tasks, new Resources(5, 1, 18), null,
+                null, false, false, true, "img-" + number % 40, 5, 60, 15, 3, null, List.of());
+        return new JobRecord(spec.id(), spec, JobStatus.ACTIVE, 0, ++version);
+    }
+
+    private void submit(int number, int tasks, JobKind kind) {
+        JobRecord record = job(number, tasks, kind);
+        jobs.add(record);
+        cluster.onJob(record, 0, now);
+    }
+
+    private MachineReport report(String machine, int number, long token) {
+        List<TaskReport> tasks = new ArrayList<>();
+        running.getOrDefault(machine, Map.of()).forEach((task, attempt) -> tasks.add(new TaskReport(task.substring(0, task.indexOf('/')),
+                Integer.parseInt(task.substring(task.indexOf('/') + 1)), attempt, TaskPhase.RUNNING, null, false)));
+        return new MachineReport(machine, "10.0.0.1:9000", "m", number % 2 == 0 ? "a" : "b", false, 1, ++seq, token, null, tasks);
+    }
+
+    private void round(long token, boolean measured) {
+        for (int i = 0; i < size; i++) {
+            MachineReport r = report("vm-" + i, i, token);
+            long from = System.nanoTime();
+            cluster.onReport(r, now);
+            if (measured) {
+                reports.recordValue(System.nanoTime() - from);
+            }
+            if (i % (size / 40) == 0) {
+                tick(measured);
+                now += REPORT_S / 40;
+            }
+        }
+    }
+
+    private void tick(boolean measured) {
+        long from = System.nanoTime();
+        cluster.tick(now);
+        if (measured) {
+            decisions.recordValue(System.nanoTime() - from);
+        }
+        for (Runnable a = answers.poll(); a != null; a = answers.poll()) {
+            a.run();
+        }
+    }
+
+    private void run(boolean said) {
+        begin(1);
+        for (int i = 0; i < size; i++) {
+            cluster.onReport(report("vm-" + i, i, 1), now);
+        }
+        // Three quarters full, then for a minute as many new tasks as end.
+        int number = 0;
+        for (int tasks = 0; tasks < size * PER_MACHINE * 3 / 4; tasks += 12) {
+            submit(number++, 12, JobKind.ARRAY);
+        }
+        for (int i = 0; i < 200; i++) {
+            now += 0.02;
+            tick(false);
+        }
+        round(1, false);
+        long looked = cluster.considered();
+        for (int round = 0; round < 10; round++) {
+            for (int i = 0; i < size / 60; i++) {
+                submit(number++, 12, i % 3 == 0 ? JobKind.SERVICE : JobKind.ARRAY);
+            }
+            round(1, true);
+        }
+        long looks = (cluster.considered() - looked) / Math.max(1, decisions.getTotalCount());
+        System.gc();
+        long heap = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed() >> 20;
+        // The next leader reads what is on record and hears all machines once.
+        long from = System.nanoTime();
+        begin(2);
+        jobs.forEach(j -> cluster.onJob(j, 0, now));
+        pages.forEach((page, starts) -> starts.forEach(s -> cluster.onStartLoaded(page, s, now)));
+        cluster.onLoaded();
+        for (int i = 0; i < size; i++) {
+            cluster.onReport(report("vm-" + i, i, 2), now);
+        }
+        now += 1.3 * REPORT_S;
+        cluster.tick(now);
+        double takeOver = (System.nanoTime() - from) * 1e-6;
+        if (said) {
+            System.out.printf(Locale.ROOT, "%8d  %12.0f  %9.0f %10.0f  %8.2f %8.2f %8.2f  %16d  %7d%n", size, takeOver,
+                    reports.getValueAtPercentile(50) * 1e-3, reports.getValueAtPercentile(99) * 1e-3, decisions.getValueAtPercentile(50) * 1e-6,
+                    decisions.getValueAtPercentile(99) * 1e-6, decisions.getMaxValue() * 1e-6, looks, heap);
+        }
+    }
+
+    @Override
+    public void orders(Machine machine, long session, List<Command> commands) {
+        Map<String, Long> on = running.computeIfAbsent(machine.name, m -> new LinkedHashMap<>());
+        for (Command c : commands) {
+            if (c instanceof Command.Start) {
+                on.put(c.job() + "/" + c.task(), c.attempt());
+            } else {
+                on.remove(c.job() + "/" + c.task());
+            }
+        }
+        int number = Integer.parseInt(machine.name.substring(3));
+        answers.add(() -> cluster.onOrders(machine.name, Cluster.OrderOutcome.EXECUTED, report(machine.name, number, cluster.term), now));
+    }
+
+    @Override
+    public void storeStarts(int page, List<Placement> starts) {
+        pages.put(page, starts.stream().map(p -> new StartedTask(p.machine().name, "m", p.machine().zone == 0 ? "a" : "b", false,
+                new TaskRef(p.job().spec.id(), p.task()))).toList());
+        answers.add(() -> cluster.onStartsStored(page, PageOutcome.STORED));
+    }
+
+    @Override
+    public void storeProgress(int page, List<TaskProgress> progress) {
+        answers.add(() -> cluster.onProgressStored(page, PageOutcome.STORED));
+    }
+
+    @Override
+    public void storeImages(int page, List<Machine> machines) {
+        answers.add(() -> cluster.onImagesStored(page, PageOutcome.STORED));
+    }
+
+    @Override
+    public void storeDone(String job, long jobVersion) { }
+
+    @Override
+    public void storeCancelled(JobRecord job) { }
+
+    @Override
+    public void lookUp(String job) { }
+
+    @Override
+    public void rent(Rental rental) { }
+
+    @Override
+    public void giveBack(List<String> machines) { }
+}
