A machine that left the cloud's list is gone; workers make room for users in a crowd

With 4,000 machines the peak of connections was the limit itself: those that wait to be taken count as well.

Change: Listings works out from the ages in the lists which one describes the later moment; a machine that an earlier one had and a later one lacks is gone, at once and with its tasks. The backlog is a part of the socket budget, a twentieth is left to spare, and with four fifths taken no worker's connection is kept.

--- a/src/main/java/io/kelphoist/cloud/CloudClient.java
+++ b/src/main/java/io/kelphoist/cloud/CloudClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.core.CloudMachine;
+import io.kelphoist.core.CloudPage;
 import io.kelphoist.core.MachineType;
 import io.kelphoist.core.Rental;
 import io.kelphoist.state.RateGate;
@@ -99,11 +100,11 @@
     }
 
     /** The whole list, or null. */
-    public void list(Consumer<List<CloudMachine>> handler) {
+    public void list(Consumer<List<CloudPage>> handler) {
         page("", new ArrayList<>(), handler);
     }
 
-    private void page(String after, List<CloudMachine> found, Consumer<List<CloudMachine>> handler) {
+    private void page(String after, List<CloudPage> found, Consumer<List<CloudPage>> handler) {
         if (gate.waitFor(2, loop.now()) > 0 || !gate.take(1, loop.now())) {
             handler.accept(null);
             return;
@@ -115,9 +116,11 @@
                 return;
             }
             try {
-                found.addAll(Codec.list(body));
-                if (Codec.more(body) && !found.isEmpty()) {
-                    page(found.get(found.size() - 1).name(), found, handler);
+                List<CloudMachine> machines = Codec.list(body);
+                boolean last = !Codec.more(body) || machines.isEmpty();
+                found.add(new CloudPage(after, last, machines));
+                if (!last) {
+                    page(machines.get(machines.size() - 1).name(), found, handler);
                 } else {
                     handler.accept(found);
                 }
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -773,8 +773,8 @@
 
     // ---- cloud ----
 
-    public void onCloudList(List<CloudMachine> list, double now) {
-        fleet.onList(list, now);
+    public void onCloudList(List<CloudPage> list, double now) {
+        list.forEach(page -> fleet.onList(page, now));
     }
 
     public void onRented(Rental rental, List<String> names, boolean refused, double now) {
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -47,6 +47,7 @@
 
     private final Cluster cluster;
     private final Consolidation consolidation;
+    private final Listings listings = new Listings();
     private final Map<Kind, Double> refusedUntil = new HashMap<>();
     private final Map<Kind, Integer> counts = new HashMap<>();
     /** Requests without a final answer, and when to ask again. */
@@ -295,8 +296,15 @@
         }
     }
 
-    void onList(List<CloudMachine> list, double now) {
-        for (CloudMachine c : list) {
+    void onList(CloudPage page, double now) {
+        for (String name : listings.gone(page)) {
+            Machine m = cluster.machines.get(name);
+            if (m != null) {
+                LOG.info("machine {} left the list, it was taken with {} tasks", name, m.placements.size());
+                cluster.remove(name, now);
+            }
+        }
+        for (CloudMachine c : page.machines()) {
             Machine m = cluster.machines.get(c.name());
             MachineType type = cluster.types.get(c.type());
             if (m == null && type != null && !cluster.knownGone(c.name())) {
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -38,6 +38,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
@@ -114,7 +115,7 @@
         cloud = new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage);
         SocketBudget sockets = new SocketBudget(settings.sockets());
         workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1), sockets.orderLines());
-        connections = new WorkerConnections(sockets.keptWorkers(), settings.workers().leaseS());
+        connections = new WorkerConnections(sockets, settings.workers().leaseS());
         Map<String, HttpCaller> callers = new HashMap<>();
         settings.peers().forEach(p -> callers.put(p.node(), caller(p.address(), HttpServing.JSON, 4)));
         peers = new PeerCalls(callers, this::garbage);
@@ -445,6 +446,11 @@
         return leadership.election();
     }
 
+    /** How many connections from outside are open, once they are taken at all. */
+    void incoming(LongSupplier open) {
+        connections.incoming(open);
+    }
+
     int workerConnections() {
         return connections.size();
     }
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -9,6 +9,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.ConnectorStatistics;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
@@ -25,7 +26,6 @@
 public final class Daemon {
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
     private static final int PEER_BODY = 4 << 20;
-    private static final int BACKLOG = 512;
     /** Connections are taken again once there are so many fewer than the most, as a part of it. */
     private static final int SLACK = 16;
 
@@ -62,14 +62,16 @@
         HostAndPort serve = HostAndPort.fromString(settings.serveOn());
         HostAndPort listen = HostAndPort.fromString(settings.peerListen());
         Daemon[] self = new Daemon[1];
-        int most = new SocketBudget(settings.sockets()).mostIncoming(BACKLOG);
+        SocketBudget sockets = new SocketBudget(settings.sockets());
+        int most = sockets.mostIncoming();
         Undertow server = Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
-                .setSocketOption(Options.BACKLOG, BACKLOG)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
+                .setSocketOption(Options.BACKLOG, sockets.backlog())
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, most)
                 .setSocketOption(Options.CONNECTION_LOW_WATER, Math.max(1, most - most / SLACK))
@@ -79,6 +81,8 @@
                 .build();
         self[0] = new Daemon(worker, server, controller);
         server.start();
+        ConnectorStatistics incoming = server.getListenerInfo().get(0).getConnectorStatistics();
+        controller.incoming(incoming::getActiveConnections);
         LOG.info("{} serves on {}, peers on {}", settings.node(), settings.serveOn(), settings.peerListen());
         return self[0];
     }
--- a/src/main/java/io/kelphoist/sockets/SocketBudget.java
+++ b/src/main/java/io/kelphoist/sockets/SocketBudget.java
@@ -11,10 +11,15 @@
 public record SocketBudget(int limit) {
     /** Where the platform sets no limit. */
     public static final int USUAL = 4096;
-    /** Left for what this controller opens itself: state service, cloud, other controllers, files of the run time. */
-    private static final int OWN = 64;
+    /** Left for what this controller opens itself: state service, cloud, other controllers; and a twentieth to spare. */
+    private static final int OWN = 48;
+    private static final double SPARE = 0.05;
     private static final double KEPT = 0.35;
     private static final double ORDERS = 0.2;
+    private static final int BACKLOG_PART = 6;
+    private static final int MOST_BACKLOG = 512;
+    /** With so much of what may come in taken, no worker's connection is kept: they make room for users'. */
+    private static final double CROWDED = 0.8;
 
     /** Workers' connections that stay open after an answer. */
     public int keptWorkers() {
@@ -26,12 +31,17 @@
         return Math.max(1, (int) (ORDERS * limit));
     }
 
-    /**
-     * Connections from outside at which no more are taken: those that come wait, and none of our own fails.
-     *
-     * @param backlog so many may wait, which counts as well
-     */
-    public int mostIncoming(int backlog) {
-        return Math.max(limit / 4, limit - orderLines() - OWN - backlog);
+    /** Connections from outside that may wait to be taken; they count as well. */
+    public int backlog() {
+        return Math.max(1, Math.min(MOST_BACKLOG, limit / BACKLOG_PART));
+    }
+
+    /** Connections from outside at which no more are taken: those that come wait, and none of our own fails. */
+    public int mostIncoming() {
+        return Math.max(1, (int) (limit * (1 - SPARE)) - orderLines() - OWN - backlog());
+    }
+
+    public boolean crowded(long incoming) {
+        return incoming > CROWDED * mostIncoming();
     }
 }
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -105,14 +105,28 @@
             }
             case "rented" -> rented(w);
             case "gone" -> cluster.onReturned(List.of(w[1]), now);
-            case "listed" -> cluster.onCloudList(List.of(new CloudMachine(w[1], w[1] + ":1", types.get(0).name(), zones.get(0), false,
-                    CloudMachine.CloudState.valueOf(w[2].toUpperCase()), number(with, "age", 1))), now);
+            case "listed" -> cluster.onCloudList(List.of(new CloudPage("", false, List.of(listed(w[1], w[2], number(with, "age", 1))))), now);
+            case "page" -> {
+                // page [after=VM] [last] VM@AGE...
+                List<CloudMachine> machines = new ArrayList<>();
+                for (int i = 1; i < w.length; i++) {
+                    int at = w[i].indexOf('@');
+                    if (at > 0) {
+                        machines.add(listed(w[i].substring(0, at), "running", Double.parseDouble(w[i].substring(at + 1))));
+                    }
+                }
+                cluster.onCloudList(List.of(new CloudPage(with.getOrDefault("after", ""), with.containsKey("last"), machines)), now);
+            }
             case "many" -> many(Integer.parseInt(w[1]), rest(w, 2));
             case "expect" -> expect(w, line);
             default -> elections(w, with);
         }
     }
 
+    private CloudMachine listed(String name, String state, double age) {
+        return new CloudMachine(name, name + ":1", types.get(0).name(), zones.get(0), false, CloudMachine.CloudState.valueOf(state.toUpperCase()), age);
+    }
+
     /** Plays a line many times, with the numbers from 0 on in place of '#', and the next one in place of '#+'. */
     private void many(int times, String line) {
         for (int i = 0; i < times; i++) {
