--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -300,7 +300,8 @@
         for (String name : listings.gone(page)) {
             Machine m = cluster.machines.get(name);
             if (m != null) {
-                LOG.info("machine {} left the list, it was taken with {} tasks", name, m.placements.size());
+                LOG.info("machine {} left the list {} s after its last report, it was taken with {} tasks", name, Math.round(now - m.lastReport),
+                        m.placements.size());
                 cluster.remove(name, now);
             }
         }
