A caretaker leaves workers to a third zone's controller that can pass their reports on

Change: a worker that a controller sends on is cared for only after a second try, if a controller in a zone of its own is there to relay; beside the leader's zone nobody is, and one try stays enough.

--- a/src/main/java/io/kelphoist/daemon/Reports.java
+++ b/src/main/java/io/kelphoist/daemon/Reports.java
@@ -112,8 +112,8 @@
         String leader = election.leader();
         String known = leader != null && peers.knows(leader) ? leader : null;
         boolean reachesUs = leadership.heardFromLeader(now);
-        // Where there is a leader that others may well reach, a worker is cared for only once it has come back from them.
-        boolean inVain = known == null || !leadership.seesKeys(now) || routes.cameBack(report.machine(), now);
+        // Where there is a leader that others may well reach, a worker is cared for only once it has tried them in vain.
+        boolean inVain = known == null || !leadership.seesKeys(now) || routes.inVain(report.machine(), known, now);
         if (!reachesUs && inVain && cared(exchange, report, now)) {
             return;
         }
--- a/src/main/java/io/kelphoist/daemon/Routes.java
+++ b/src/main/java/io/kelphoist/daemon/Routes.java
@@ -1,7 +1,7 @@
 package io.kelphoist.daemon;
 
 import java.util.HashMap;
-import java.util.List;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -16,7 +16,8 @@
 
     private static final double RELAY_FOR_S = 30;
     private static final double KEEP_S = 120;
-    private final List<String> peers;
+    /** The other controllers and their zones. */
+    private final Map<String, String> peers;
     private final double leaseS;
     private final Map<String, Entry> workers = new HashMap<>();
     private double sweptAt;
@@ -27,11 +28,12 @@
         double relayUntil = Double.NEGATIVE_INFINITY;
         /** Sent to another controller, as this one did not hear the leader. */
         double sentOnAt = Double.NEGATIVE_INFINITY;
+        int sentOn;
         double seenAt;
     }
 
-    Routes(List<String> peers, double leaseS) {
-        this.peers = List.copyOf(peers);
+    Routes(Map<String, String> peers, double leaseS) {
+        this.peers = new LinkedHashMap<>(peers);
         this.leaseS = leaseS;
     }
 
@@ -43,6 +45,7 @@
         Entry e = workers.computeIfAbsent(worker, w -> new Entry());
         e.seenAt = now;
         if (!leaderReachesUs) {
+            e.sentOn = now - e.sentOnAt < leaseS ? e.sentOn + 1 : 1;
             e.sentOnAt = now;
             return new Route(false, other(leader));
         }
@@ -58,10 +61,16 @@
         return new Route(false, leader);
     }
 
-    /** Whether a worker was sent to others a lease ago at most, and so found none there that answers. */
-    boolean cameBack(String worker, double now) {
+    /**
+     * Whether a worker was sent on a lease ago at most, and found nobody who goes on answering it. A controller in a zone of
+     * its own may have answered it and, as it does not know where the worker is, sent it to the leader once: it is tried again,
+     * and relays from then on. One beside the leader is as far away as that.
+     */
+    boolean inVain(String worker, String leader, double now) {
         Entry e = workers.get(worker);
-        return e != null && now - e.sentOnAt < leaseS;
+        String other = other(leader);
+        int tries = other == null || peers.get(other).equals(peers.get(leader)) ? 1 : 2;
+        return e != null && now - e.sentOnAt < leaseS && e.sentOn >= tries;
     }
 
     void relayed(String worker, boolean answered, double now) {
@@ -76,7 +85,7 @@
     }
 
     private String other(String leader) {
-        for (String peer : peers) {
+        for (String peer : peers.keySet()) {
             if (!peer.equals(leader)) {
                 return peer;
             }
--- a/src/test/java/io/kelphoist/daemon/RoutesTest.java
+++ b/src/test/java/io/kelphoist/daemon/RoutesTest.java
@@ -1,15 +1,17 @@
 package io.kelphoist.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
+import com.google.common.collect.ImmutableMap;
 import org.junit.jupiter.api.Test;
 
 /** A worker must be answered within its lease (10 s here); a node tried in vain costs it 5 s. */
 class RoutesTest {
     private static final Routes.Route RELAY = new Routes.Route(true, "lead");
     private static final Routes.Route REDIRECT = new Routes.Route(false, "lead");
-    private final Routes routes = new Routes(List.of("lead", "third"), 10);
+    private final Routes routes = new Routes(ImmutableMap.of("lead", "a", "third", "c"), 10);
 
     @Test
     void redirectsOnlyWithFreshLease() {
@@ -34,6 +36,20 @@
         return 140;
     }
 
+    /** The third zone's controller answers, but sends a worker to the leader that it can't reach, once. */
+    @Test
+    void triesAThirdZoneTwice() {
+        assertFalse(routes.inVain("vm-1", "lead", 100));
+        routes.route("vm-1", "lead", false, 100);
+        assertFalse(routes.inVain("vm-1", "lead", 106));
+        routes.route("vm-1", "lead", false, 106);
+        assertTrue(routes.inVain("vm-1", "lead", 111));
+        assertFalse(routes.inVain("vm-1", "lead", 116));
+        Routes twoZones = new Routes(ImmutableMap.of("lead", "a", "third", "a"), 10);
+        twoZones.route("vm-1", "lead", false, 100);
+        assertTrue(twoZones.inVain("vm-1", "lead", 106));
+    }
+
     @Test
     void sendsOnWhereTheLeaderIsNotHeard() {
         assertEquals(new Routes.Route(false, "third"), routes.route("vm-1", "lead", false, 100));
