A lost machine is given back 20 s after it was lost, not after its last report

Change: the 20 s run from when a machine is lost. Scenario lost-machine-has-time-to-come-back fails without it.

--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -336,7 +336,8 @@
                     }
                 }
                 case LOST -> {
-                    if (now - m.lastReport > cluster.policy.leaseS() + LOST_FOR_S) {
+                    // Counted from when it was lost: a zone that was cared for is silent for long, and may be back any moment.
+                    if (now - m.lostAt > LOST_FOR_S) {
                         leave(m, "lost", now);
                     }
                 }
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -43,6 +43,7 @@
     double lastReport;
     double rentedAt;
     double idleSince;
+    double lostAt;
     double takenAt = Double.POSITIVE_INFINITY;
     private int version;
     boolean ordersInFlight;
@@ -95,6 +96,8 @@
         state = next;
         if (next == State.UP) {
             idleSince = now;
+        } else if (next == State.LOST) {
+            lostAt = now;
         }
         return true;
     }
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -36,6 +36,7 @@
     private final Map<Integer, List<Placement>> recorded = new TreeMap<>();
     private final Map<String, String> cached = new TreeMap<>();
     private int recordBytes = 2000;
+    private double caredUntil = Double.NEGATIVE_INFINITY;
     private final List<String> lookedUp = new ArrayList<>();
     private int imageBytes;
     private PageOutcome imagesOutcome = PageOutcome.STORED;
@@ -105,6 +106,7 @@
             }
             case "rented" -> rented(w);
             case "gone" -> cluster.onReturned(List.of(w[1]), now);
+            case "caretaker-until" -> caredUntil = Double.parseDouble(w[1]);
             case "listed" -> cluster.onCloudList(List.of(new CloudPage("", false, List.of(listed(w[1], w[2], number(with, "age", 1))))), now);
             case "page" -> {
                 // page [after=VM] [last] VM@AGE...
@@ -138,7 +140,7 @@
 
     private void term(long term) {
         Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, recordBytes, 0.01, 0.01, Map.of("relaxed", 15.0));
-        cluster = new Cluster(policy, this, OtherAnswers.NONE, term, types, now);
+        cluster = new Cluster(policy, this, (machine, zone, at) -> Math.min(at, caredUntil), term, types, now);
         orders.clear();
         stored.clear();
         rentals.clear();
