Tidy: one place for a newer term, a peer's answer, its zone, a round of reports

A second reading found the same logic twice and work that need not be done. Mandate ends at a newer term in one function; Caretakers takes in both kinds of answers by one; the peers' zones come from Settings, and the length of a round of reports from Leases. The machines that nobody may care for are looked for only when a mandate may be given, and machines are numbered only in runs in which something chooses by rank. Two interfaces that were Consumers, and a method that nothing called, are gone.

--- a/src/main/java/io/kelphoist/api/JobLookup.java
+++ b/src/main/java/io/kelphoist/api/JobLookup.java
@@ -41,11 +41,6 @@
         INTACT, CANCELLED, UNAVAILABLE
     }
 
-    /** Told of a job's end. */
-    interface Finals {
-        void ended(JobRecord record);
-    }
-
     private static final Logger LOG = LoggerFactory.getLogger(JobLookup.class);
     private static final int MOST_KEPT = 4000;
     /** So many jobs are looked at for one answer; the leader follows longer chains. */
--- a/src/main/java/io/kelphoist/api/JobMirror.java
+++ b/src/main/java/io/kelphoist/api/JobMirror.java
@@ -11,6 +11,7 @@
 import io.kelphoist.wire.BadMessage;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,11 +35,6 @@
         UNAVAILABLE
     }
 
-    /** Takes the outcome of a round. */
-    interface Joined {
-        void on(Round round);
-    }
-
     private static final Logger LOG = LoggerFactory.getLogger(JobMirror.class);
     private static final int MOST_KEPT = 4000;
     private static final int MOST_CHANGES = 20_000;
@@ -52,8 +48,9 @@
     private final Cache<String, JobRecord> kept = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
     /** Revision of the last change seen of any job in this epoch. */
     private final Cache<String, Long> changed = CacheBuilder.newBuilder().maximumSize(MOST_CHANGES).concurrencyLevel(1).build();
-    private final JobLookup.Finals finals;
-    private List<Joined> next = new ArrayList<>();
+    /** Told of jobs' ends. */
+    private final Consumer<JobRecord> finals;
+    private List<Consumer<Round>> next = new ArrayList<>();
     private boolean asking;
     private boolean placing;
     /** Up to which revision changes are known; negative: there is no position, and nothing is kept. */
@@ -62,7 +59,7 @@
     private double currentAt = Double.NEGATIVE_INFINITY;
     private long epoch;
 
-    JobMirror(Reads state, StateClient.Loop loop, JobLookup.Finals finals) {
+    JobMirror(Reads state, StateClient.Loop loop, Consumer<JobRecord> finals) {
         this.state = state;
         this.loop = loop;
         this.finals = finals;
@@ -126,7 +123,7 @@
     }
 
     /** Joins the next round. */
-    void join(Joined joined) {
+    void join(Consumer<Round> joined) {
         next.add(joined);
         if (!asking) {
             asking = true;
@@ -135,7 +132,7 @@
     }
 
     private void round() {
-        List<Joined> now = next;
+        List<Consumer<Round>> now = next;
         next = new ArrayList<>();
         if (position < 0 || ageS() > STALE_S) {
             forget();
@@ -157,8 +154,8 @@
         });
     }
 
-    private void end(List<Joined> joined, Round how) {
-        joined.forEach(j -> j.on(how));
+    private void end(List<Consumer<Round>> joined, Round how) {
+        joined.forEach(j -> j.accept(how));
         asking = !next.isEmpty();
         if (asking) {
             loop.after(PACE_S, this::round);
@@ -179,7 +176,7 @@
             try {
                 JobRecord record = Records.job(key, e.path("value"), version);
                 if (record.status().isFinal()) {
-                    finals.ended(record);
+                    finals.accept(record);
                 } else {
                     kept.put(id, record);
                 }
--- a/src/main/java/io/kelphoist/care/Care.java
+++ b/src/main/java/io/kelphoist/care/Care.java
@@ -19,7 +19,7 @@
     private static final double QUIET_S = 1.5;
     /** A mandate that is hardly longer than the wait before it would renew nothing. */
     private static final double LEAST_S = 2 * QUIET_S;
-    public static final Care NONE = new Care(0, QUIET_S);
+    private static final Care NONE = new Care(0, QUIET_S);
 
     /** @param cancelS how long after a cancellation all tasks must be gone; {@code leaseS} of a worker */
     public static Care of(double cancelS, double leaseS) {
--- a/src/main/java/io/kelphoist/care/Caretakers.java
+++ b/src/main/java/io/kelphoist/care/Caretakers.java
@@ -123,10 +123,6 @@
         zones.forEach((name, itsZone) -> peers.put(name, new Peer(itsZone, care.any() ? now : Double.NEGATIVE_INFINITY)));
     }
 
-    public State state(String peer) {
-        return peers.get(peer).state;
-    }
-
     /**
      * A peer answered a request of this term.
      *
@@ -137,10 +133,7 @@
         if (p == null || sentAt < p.askedAt) {
             return;
         }
-        settle(p, Math.max(now - word.upS, now - word.caredS), now);
-        p.to(State.ABLE);
-        p.askedAt = sentAt;
-        p.answeredAt = now;
+        heard(p, sentAt, Math.max(now - word.upS, now - word.caredS), State.ABLE, now);
         p.itsClock = word.clock;
         p.life = word.life;
         if (word.seq == p.seq && word.seq > 0) {
@@ -154,10 +147,7 @@
         Peer p = peers.get(peer);
         if (p != null && sentAt >= p.askedAt) {
             // Its life before this one may have been of a version that does.
-            settle(p, now, now);
-            p.to(State.UNABLE);
-            p.askedAt = sentAt;
-            p.answeredAt = now;
+            heard(p, sentAt, now, State.UNABLE, now);
             p.base = Double.NEGATIVE_INFINITY;
         }
     }
@@ -166,7 +156,7 @@
      * What a peer may have done until now is known with its answer: not later than {@code latest}, nor than its mandate
      * allowed. A life of it that is over ended before this one began.
      */
-    private void settle(Peer p, double latest, double now) {
+    private void heard(Peer p, double sentAt, double latest, State next, double now) {
         double cared = Math.min(latest, until(p));
         if (p.state == State.UNHEARD) {
             // What it had of an earlier term is over with our first word.
@@ -176,6 +166,9 @@
             p.caredExcept = p.cared > now - care.mandateS() * 2 ? Sets.intersection(p.caredExcept, p.except).immutableCopy() : p.except;
             p.cared = cared;
         }
+        p.to(next);
+        p.askedAt = sentAt;
+        p.answeredAt = now;
     }
 
     private double until(Peer p) {
@@ -183,14 +176,14 @@
     }
 
     /** Only where every controller, whoever leads next, is known to reckon with caretakers. */
-    private boolean all() {
+    public boolean ready() {
         return gives && peers.values().stream().allMatch(p -> p.state == State.ABLE);
     }
 
     /** A mandate to send along with a request; null: none now. */
     public Offer offer(String peer, Collection<String> except, double knownUntil, double now) {
         Peer p = peers.get(peer);
-        if (p == null || !all() || p.noted != Noted.NOTHING) {
+        if (p == null || !ready() || p.noted != Noted.NOTHING) {
             return null;
         }
         boolean none = except.size() > MOST_EXCEPT;
@@ -253,7 +246,7 @@
 
     /** What this controller may do itself if it can lead no longer; null: nothing. */
     public Offer own(Collection<String> except, double knownUntil, double now) {
-        return all() && ownNoted == Noted.NOTHING ? new Offer(term, 0, ++ownSeq, Math.min(knownUntil, now), ImmutableSet.copyOf(except)) : null;
+        return ready() && ownNoted == Noted.NOTHING ? new Offer(term, 0, ++ownSeq, Math.min(knownUntil, now), ImmutableSet.copyOf(except)) : null;
     }
 
     /** This controller renewed a lease while it could not lead. */
--- a/src/main/java/io/kelphoist/care/Mandate.java
+++ b/src/main/java/io/kelphoist/care/Mandate.java
@@ -69,13 +69,10 @@
         if (heardTerm < term) {
             return;
         }
+        outranked(heardTerm);
         heardAt = Math.max(heardAt, now);
         own = false;
-        if (heardTerm > term) {
-            term = heardTerm;
-            seq = 0;
-            to(State.NONE);
-        } else if (state == State.CARING) {
+        if (state == State.CARING) {
             to(State.HELD);
         }
     }
--- a/src/main/java/io/kelphoist/config/Settings.java
+++ b/src/main/java/io/kelphoist/config/Settings.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +56,13 @@
         return new Reader(file.toString()).settings(root);
     }
 
+    /** The zones of the other controllers, by name. */
+    public Map<String, String> peerZones() {
+        Map<String, String> zones = new LinkedHashMap<>();
+        peers.forEach(p -> zones.put(p.node(), p.zone()));
+        return zones;
+    }
+
     public int controllers() {
         return peers.size() + 1;
     }
--- a/src/main/java/io/kelphoist/core/Candidates.java
+++ b/src/main/java/io/kelphoist/core/Candidates.java
@@ -31,9 +31,6 @@
 
     Candidates(List<Machine> machines) {
         this.machines = machines;
-        for (int i = 0; i < machines.size(); i++) {
-            order.put(machines.get(i), i);
-        }
     }
 
     List<Machine> machines() {
@@ -57,6 +54,7 @@
 
     /** The best machine for one more task of the job; null: none is allowed. */
     Machine best(Offer offer, Job job) {
+        number();
         Ranked ranked = jobs.get(job);
         if (ranked == null) {
             ranked = new Ranked();
@@ -82,6 +80,15 @@
         return null;
     }
 
+    /** Only in runs in which something chooses by rank: gangs do not. */
+    private void number() {
+        if (order.isEmpty()) {
+            for (int i = 0; i < machines.size(); i++) {
+                order.put(machines.get(i), i);
+            }
+        }
+    }
+
     private void rank(Offer offer, Job job, Machine m, Ranked into) {
         considered++;
         if (offer.allows(job, m)) {
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -32,8 +32,6 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
-    /** Reports come every {@code reportS}, give or take a quarter. */
-    private static final double REPORT_ROUND = 1.25;
 
     final Policy policy;
     final Effects effects;
@@ -847,7 +845,7 @@
      * waited for any longer: what is on its record counts as running there until its lease has surely ended.
      */
     private boolean recover(double now) {
-        if (foundStarts && now < startedAt + REPORT_ROUND * policy.reportS()) {
+        if (foundStarts && now < startedAt + Leases.REPORT_ROUND * policy.reportS()) {
             return false;
         }
         long silent = machines.values().stream().filter(m -> m.state() == Machine.State.JOINING).count();
--- a/src/main/java/io/kelphoist/core/Leases.java
+++ b/src/main/java/io/kelphoist/core/Leases.java
@@ -11,7 +11,7 @@
     /** Beyond the lease, for the steps in which timers fire. */
     private static final double TIMER_MARGIN_S = 0.25;
     /** Reports come every {@code reportS}, give or take a quarter; one that is later than this was missed. */
-    private static final double REPORT_ROUND = 1.25;
+    static final double REPORT_ROUND = 1.25;
     private static final double LATE_S = 1.5;
 
     private final Cluster cluster;
--- a/src/main/java/io/kelphoist/daemon/Caretaking.java
+++ b/src/main/java/io/kelphoist/daemon/Caretaking.java
@@ -11,7 +11,6 @@
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.OtherAnswers;
 import io.kelphoist.peer.CareCodec;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +24,7 @@
     private final boolean on;
     private final String self;
     private final String zone;
-    private final Map<String, String> zones = new LinkedHashMap<>();
+    private final Map<String, String> zones;
     private final double startedAt;
     private final double clockErrorMs;
     private final Mandate mandate;
@@ -42,7 +41,7 @@
         this.zone = settings.zone();
         this.startedAt = startedAt;
         this.clockErrorMs = settings.clockErrorMs();
-        settings.peers().forEach(p -> zones.put(p.node(), p.zone()));
+        this.zones = settings.peerZones();
         mandate = new Mandate(care, zone, System.currentTimeMillis());
     }
 
@@ -60,7 +59,7 @@
 
     /** Adds a mandate to a request for a grant, if one may be given; {@code knownUntil}: up to when all cancellations are known. */
     void ask(String peer, ObjectNode request, Cluster cluster, double knownUntil, double now) {
-        if (caretakers != null && cluster != null) {
+        if (caretakers != null && cluster != null && caretakers.ready()) {
             Offer offer = caretakers.offer(peer, cluster.notToBeCaredFor(caretakers.zoneOf(peer)), knownUntil, now);
             if (offer != null) {
                 request.set(CareCodec.FIELD, CareCodec.offer(offer));
@@ -100,7 +99,7 @@
 
     /** While it may act, a leader sees to it that it can take care of its own zone when it no longer may. */
     void provide(Cluster cluster, double knownUntil, double now) {
-        if (caretakers != null && now >= ownAt) {
+        if (caretakers != null && now >= ownAt && caretakers.ready()) {
             ownAt = now + OWN_EVERY_S;
             Offer own = caretakers.own(cluster.notToBeCaredFor(zone), knownUntil, now);
             if (own != null) {
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -33,7 +33,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
@@ -122,11 +121,9 @@
         peers = new PeerCalls(callers, this::garbage);
         leadership = new Leadership(settings.node(), settings.peers().stream().map(Settings.Peer::node).toList(), state, peers, loop,
                 operator.leaderLeaseMs(), operator.grantMs(), startedAt, this);
-        Map<String, String> zones = new LinkedHashMap<>();
-        settings.peers().forEach(p -> zones.put(p.node(), p.zone()));
         caretaking = new Caretaking(settings, operator.caretaking(), startedAt);
         reports = new Reports(leadership, peers, loop, counters,
-                new Routes(zones, settings.workers().leaseS()), caretaking, connections, this::lead);
+                new Routes(settings.peerZones(), settings.workers().leaseS()), caretaking, connections, this::lead);
         api = new UserApi(state, committer, loop, System::currentTimeMillis, new UserApi.Knowledge() {
             @Override
             public Collection<MachineType> types() {
