--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -6,16 +6,31 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 /** The operators' own settings: protobuf text format, all optional. */
 public record OperatorSettings(int leaderLeaseMs, int grantMs, double offerS, double localityWaitS, double machineHoldS,
-                               double gangHoldS, double headroom, double idleS) {
+                               double gangHoldS, double headroom, double idleS, boolean caretaking) {
     /** Kept free in each value at the state service. */
     private static final int SPARE_BYTES = 128;
     /** Shares of the state service's limit of changes: for starts, which wait for them, and for done tasks. */
     private static final double STARTS_SHARE = 1 / 3.0;
     private static final double PROGRESS_SHARE = 1 / 15.0;
-    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40);
+    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40, false);
+
+    /** Parts that can be switched on without a file, since reading one takes a third of the time to start. */
+    public static final List<String> PARTS = List.of("caretaking");
+
+    /** The same with these parts on; a name that is none of {@link #PARTS} is refused. */
+    public OperatorSettings with(List<String> parts) throws Settings.Invalid {
+        for (String part : parts) {
+            if (!PARTS.contains(part)) {
+                throw new Settings.Invalid("--on", part, "there is no such part, only " + String.join(", ", PARTS));
+            }
+        }
+        return new OperatorSettings(leaderLeaseMs, grantMs, offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
+                caretaking || parts.contains("caretaking"));
+    }
 
     /** Unknown fields are ignored; wrong ones are named. */
     public static OperatorSettings read(Path file) throws Settings.Invalid {
@@ -33,7 +48,7 @@
                 (int) range(f, "grant_ms", o.getGrantMs(), 500, 60_000),
                 range(f, "offer_s", o.getOfferS(), 0.1, 600), range(f, "locality_wait_s", o.getLocalityWaitS(), 1, 5),
                 range(f, "machine_hold_s", o.getMachineHoldS(), 0, 600), range(f, "gang_hold_s", o.getGangHoldS(), 0, 600),
-                range(f, "headroom", o.getHeadroom(), 0, 10), range(f, "idle_s", o.getIdleS(), 0, 3600));
+                range(f, "headroom", o.getHeadroom(), 0, 10), range(f, "idle_s", o.getIdleS(), 0, 3600), o.getCaretaking());
     }
 
     private static double range(String file, String field, double v, double least, double most) throws Settings.Invalid {
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -25,13 +25,13 @@
         REFUSED,
         /** The connection never came about, so it cannot arrive late. */
         NOT_SENT,
+        /** Nothing was tried: this controller may not act, or has no connection to spare. */
+        NOT_TRIED,
         /** No answer: may be executed minutes later. */
         UNANSWERED
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
-    /** Beyond the lease, for the steps in which timers fire. */
-    private static final double TIMER_MARGIN_S = 0.25;
     /** Reports come every {@code reportS}, give or take a quarter. */
     private static final double REPORT_ROUND = 1.25;
 
@@ -52,6 +52,7 @@
     private final ProgressRecords progress;
     private final ImageRecords cached;
     private final Dependencies dependencies;
+    private final Leases leases;
     private final Allocator allocator;
     private final Fleet fleet;
     private long attempts;
@@ -61,7 +62,8 @@
     private boolean loading = true;
     private boolean deposed;
 
-    public Cluster(Policy policy, Effects effects, long term, Collection<MachineType> types, double now) {
+    /** @param others who else may have answered reports, see {@link OtherAnswers} */
+    public Cluster(Policy policy, Effects effects, OtherAnswers others, long term, Collection<MachineType> types, double now) {
         this.policy = policy;
         this.effects = effects;
         this.term = term;
@@ -73,6 +75,7 @@
         progress = new ProgressRecords(policy, effects);
         cached = new ImageRecords(policy, images, this::gbOf, effects);
         dependencies = new Dependencies(jobs, effects);
+        leases = new Leases(this, others);
         allocator = new Allocator(this);
         fleet = new Fleet(this);
     }
@@ -109,6 +112,11 @@
         return allocator.considered();
     }
 
+    /** Machines of a zone whose leases no controller but the leader may renew. */
+    public List<String> notToBeCaredFor(String zone) {
+        return leases.notToBeCaredFor(zones.find(zone));
+    }
+
     public String zoneName(int zone) {
         return zones.name(zone);
     }
@@ -323,8 +331,8 @@
         m.session = report.session();
         m.seq = report.seq();
         m.address = report.address();
+        m.heard(now);
         if (report.token() < term) {
-            m.lastReport = now;
             return m;
         }
         if (m.state() == Machine.State.BOOTING || m.state() == Machine.State.JOINING || m.state() == Machine.State.LOST) {
@@ -334,7 +342,6 @@
             }
             m.to(Machine.State.UP, now);
         }
-        m.lastReport = now;
         if (report.noticeS() != null && m.takenAt == Double.POSITIVE_INFINITY) {
             m.takenAt = now + report.noticeS();
             LOG.info("machine {} will be taken in {} s", m.name, report.noticeS());
@@ -745,8 +752,9 @@
                 p.dangling |= outcome == OrderOutcome.UNANSWERED;
             }
         }
-        if (outcome == OrderOutcome.UNANSWERED || outcome == OrderOutcome.NOT_SENT) {
+        if (outcome != OrderOutcome.EXECUTED && outcome != OrderOutcome.REFUSED) {
             m.ordersRetryAt = now + policy.reportS() * 2;
+            m.unreached = outcome != OrderOutcome.NOT_TRIED;
         }
         if (report != null) {
             ingest(report, now);
@@ -806,17 +814,7 @@
 
     /** Runs what time alone brings about, and then the allocation. Call it often, and after input. */
     public void tick(double now) {
-        for (Machine m : new ArrayList<>(machines.values())) {
-            expire(m, now);
-            notice(m, now);
-            if (m.holdOver(now)) {
-                if (m.heldFor().active() && !m.heldFor().pending.isEmpty()) {
-                    m.heldFor().machineFilterUntil = now + policy.offerS();
-                }
-                m.endHold();
-            }
-        }
-        escalate(now);
+        leases.run(now);
         for (Job job : new ArrayList<>(jobs.values())) {
             store(job);
         }
@@ -848,20 +846,8 @@
         return true;
     }
 
-    /**
-     * A worker's lease runs from when the last answered report was sent, which is before we answered it. When that
-     * is over, whatever the machine does, its tasks are gone.
-     */
-    private void expire(Machine m, double now) {
-        boolean watched = m.state().reports() || m.state() == Machine.State.JOINING || m.state() == Machine.State.RETURNING;
-        if (!watched || now < m.lastAnswer + policy.leaseS() * (1 + 2 * Policy.DRIFT) + TIMER_MARGIN_S) {
-            return;
-        }
-        if (m.state() == Machine.State.RETURNING && m.placements.isEmpty()) {
-            return;
-        }
-        LOG.info("machine {} is silent since {} s, its lease is over, {} tasks with it", m.name,
-                Math.round(now - m.lastReport), m.placements.size());
+    /** Its lease is surely over: nothing of what was there goes on. */
+    void lost(Machine m, double now) {
         m.deadSession = Math.max(m.deadSession, m.session);
         for (Placement p : new ArrayList<>(m.placements)) {
             vanish(p, now);
@@ -870,42 +856,12 @@
         starts.nothingOn(m);
     }
 
-    /** Stops what can save before the cloud takes the machine, as late as is safe. */
-    private void notice(Machine m, double now) {
-        if (m.takenAt == Double.POSITIVE_INFINITY) {
-            return;
-        }
-        for (Placement p : new ArrayList<>(m.placements)) {
-            JobSpec spec = p.job.spec;
-            boolean saves = spec.checkpoints() && spec.saveS() < m.takenAt - now;
-            boolean last = now > m.takenAt - spec.saveS() - 2 * policy.reportS();
-            if (p.state().occupies() && !p.stopping() && (last || spec.kind() == JobKind.SERVICE)) {
-                if (spec.kind() == JobKind.GANG) {
-                    stopGang(p.job, saves ? spec.saveS() : 0, now);
-                } else if (saves || !spec.checkpoints()) {
-                    stop(p, saves ? spec.saveS() : 0, now);
-                }
-            }
-        }
-    }
-
     void stopGang(Job job, double grace, double now) {
         for (Placement p : new ArrayList<>(job.at.values())) {
             stop(p, grace, now);
         }
     }
 
-    /** A task that should have saved long ago is stopped for good. */
-    private void escalate(double now) {
-        for (Machine m : machines.values()) {
-            for (Placement p : m.placements) {
-                if (p.stopping() && p.stopGrace > 0 && p.state().occupies() && now > p.stopAt + p.stopGrace + policy.gangPeerS() + 5) {
-                    stop(p, 0, now);
-                }
-            }
-        }
-    }
-
     private void store(Job job) {
         if (job.state() == Job.State.FINISHING && !job.storing) {
             job.storing = true;
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -114,9 +114,9 @@
         List<Room> rooms = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
             boolean booting = m.state() == Machine.State.BOOTING && now - m.rentedAt < SLOW_BOOT * m.type.bootS();
-            if (booting || m.state() == Machine.State.JOINING) {
+            if (booting || m.state() == Machine.State.JOINING && !m.quiet) {
                 rooms.add(new Room(m.type, m.zone, m.spot, m.type.capacity(), true));
-            } else if (m.state() == Machine.State.UP && m.takenAt == Double.POSITIVE_INFINITY) {
+            } else if (m.takesWork(now)) {
                 rooms.add(new Room(m.type, m.zone, m.spot, m.heldFor() != null ? Resources.NONE : m.free(), m.idle() && m.heldFor() == null));
             }
         }
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/Leases.java
@@ -0,0 +1,102 @@
+package io.kelphoist.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What time brings about on machines: silence, leases that are over, spot notices, and tasks that should have saved by now. */
+final class Leases {
+    private static final Logger LOG = LoggerFactory.getLogger(Leases.class);
+    /** Beyond the lease, for the steps in which timers fire. */
+    private static final double TIMER_MARGIN_S = 0.25;
+    /** Reports come every {@code reportS}, give or take a quarter; one that is later than this was missed. */
+    private static final double REPORT_ROUND = 1.25;
+    private static final double LATE_S = 1.5;
+
+    private final Cluster cluster;
+    private final OtherAnswers others;
+
+    Leases(Cluster cluster, OtherAnswers others) {
+        this.cluster = cluster;
+        this.others = others;
+    }
+
+    void run(double now) {
+        for (Machine m : new ArrayList<>(cluster.machines.values())) {
+            m.quiet = m.unreached || now > m.lastReport + REPORT_ROUND * cluster.policy.reportS() + LATE_S;
+            expire(m, now);
+            notice(m, now);
+            if (m.holdOver(now)) {
+                if (m.heldFor().active() && !m.heldFor().pending.isEmpty()) {
+                    m.heldFor().machineFilterUntil = now + cluster.policy.offerS();
+                }
+                m.endHold();
+            }
+        }
+        escalate(now);
+    }
+
+    /**
+     * A worker's lease runs from when the last answered report was sent, which is before it was answered, by us or by a
+     * controller that could not hear us. When that is over, whatever the machine does, its tasks are gone.
+     */
+    private void expire(Machine m, double now) {
+        boolean watched = m.state().reports() || m.state() == Machine.State.JOINING || m.state() == Machine.State.RETURNING;
+        double lease = cluster.policy.leaseS() * (1 + 2 * Policy.DRIFT) + TIMER_MARGIN_S;
+        if (!watched || now < m.lastAnswer + lease || now < others.latest(m.name, cluster.zones.name(m.zone), now) + lease) {
+            return;
+        }
+        if (m.state() == Machine.State.RETURNING && m.placements.isEmpty()) {
+            return;
+        }
+        LOG.info("machine {} is silent since {} s, its lease is over, {} tasks with it", m.name,
+                Math.round(now - m.lastReport), m.placements.size());
+        cluster.lost(m, now);
+    }
+
+    /** Stops what can save before the cloud takes the machine, as late as is safe. */
+    private void notice(Machine m, double now) {
+        if (m.takenAt == Double.POSITIVE_INFINITY) {
+            return;
+        }
+        for (Placement p : new ArrayList<>(m.placements)) {
+            JobSpec spec = p.job.spec;
+            boolean saves = spec.checkpoints() && spec.saveS() < m.takenAt - now;
+            boolean last = now > m.takenAt - spec.saveS() - 2 * cluster.policy.reportS();
+            if (p.state().occupies() && !p.stopping() && (last || spec.kind() == JobKind.SERVICE)) {
+                if (spec.kind() == JobKind.GANG) {
+                    cluster.stopGang(p.job, saves ? spec.saveS() : 0, now);
+                } else if (saves || !spec.checkpoints()) {
+                    cluster.stop(p, saves ? spec.saveS() : 0, now);
+                }
+            }
+        }
+    }
+
+    /** A task that should have saved long ago is stopped for good. */
+    private void escalate(double now) {
+        for (Machine m : cluster.machines.values()) {
+            for (Placement p : m.placements) {
+                if (p.stopping() && p.stopGrace > 0 && p.state().occupies()
+                        && now > p.stopAt + p.stopGrace + cluster.policy.gangPeerS() + 5) {
+                    cluster.stop(p, 0, now);
+                }
+            }
+        }
+    }
+
+    /**
+     * Machines of a zone whose leases nobody else may renew: those that have missed a report, since they are counted as
+     * lost by our own answers, and those where something may run that was cancelled.
+     */
+    List<String> notToBeCaredFor(int zone) {
+        List<String> names = new ArrayList<>();
+        for (Machine m : cluster.machines.values()) {
+            if (m.zone == zone && (m.state().reports() || m.state() == Machine.State.JOINING) && (m.quiet || m.holdsCancelled())) {
+                names.add(m.name);
+            }
+        }
+        return names;
+    }
+}
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -48,6 +48,10 @@
     /** Gets no new work so that it can go back; takes work again when some waits. */
     boolean emptying;
     double ordersRetryAt;
+    /** A direct order did not get through, and it has not reported since. */
+    boolean unreached;
+    /** It may be cut off: it has missed a report, or {@link #unreached}. Gets no new work until it is heard. */
+    boolean quiet;
     private Resources used = Resources.NONE;
     /** Pieces held for gangs. */
     private Resources held = Resources.NONE;
@@ -143,7 +147,24 @@
     }
 
     boolean takesWork(double now) {
-        return state == State.UP && takenAt == Double.POSITIVE_INFINITY;
+        return state == State.UP && takenAt == Double.POSITIVE_INFINITY && !quiet;
+    }
+
+    /** A report came, newer than what was known. */
+    void heard(double now) {
+        lastReport = now;
+        unreached = false;
+        quiet = false;
+    }
+
+    /** Something may run here that a user has cancelled. */
+    boolean holdsCancelled() {
+        for (Placement p : placements) {
+            if (p.state().occupies() && (p.job.state() == Job.State.CANCELLED || p.job.state() == Job.State.CANCELLING)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     boolean heldForOther(Job job, double now) {
--- /dev/null
+++ b/src/main/java/io/kelphoist/daemon/Caretaking.java
@@ -0,0 +1,119 @@
+package io.kelphoist.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.care.Care;
+import io.kelphoist.care.Caretakers;
+import io.kelphoist.care.Mandate;
+import io.kelphoist.care.Offer;
+import io.kelphoist.config.Settings;
+import io.kelphoist.core.Cluster;
+import io.kelphoist.core.MachineReport;
+import io.kelphoist.core.OtherAnswers;
+import io.kelphoist.peer.CareCodec;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Brings caretaking to the messages between controllers: both sides of it, of which a controller is one at a time. */
+final class Caretaking {
+    private static final Logger LOG = LoggerFactory.getLogger(Caretaking.class);
+    private static final double OWN_EVERY_S = 0.4;
+
+    private final Care care;
+    private final boolean on;
+    private final String zone;
+    private final Map<String, String> zones = new LinkedHashMap<>();
+    private final double startedAt;
+    private final Mandate mandate;
+    /** Of the term that is led here; null: none is. */
+    private Caretakers caretakers;
+    private double ownAt;
+    private Mandate.State said = Mandate.State.NONE;
+
+    /** @param on whether this controller gives mandates as leader; it reckons with others' in any case */
+    Caretaking(Settings settings, boolean on, double startedAt) {
+        this.care = Care.of(settings.workers().cancelS(), settings.workers().leaseS());
+        this.on = on;
+        this.zone = settings.zone();
+        this.startedAt = startedAt;
+        settings.peers().forEach(p -> zones.put(p.node(), p.zone()));
+        mandate = new Mandate(care, zone, System.currentTimeMillis());
+    }
+
+    // ---- as the leader ----
+
+    OtherAnswers begin(long term, double now) {
+        mandate.outranked(term);
+        caretakers = new Caretakers(care, on, term, zone, zones, now);
+        return caretakers;
+    }
+
+    void ended() {
+        caretakers = null;
+    }
+
+    /** Adds a mandate to a request for a grant, if one may be given; {@code knownUntil}: up to when all cancellations are known. */
+    void ask(String peer, ObjectNode request, Cluster cluster, double knownUntil, double now) {
+        if (caretakers != null && cluster != null) {
+            Offer offer = caretakers.offer(peer, cluster.notToBeCaredFor(caretakers.zoneOf(peer)), knownUntil, now);
+            if (offer != null) {
+                request.set(CareCodec.FIELD, CareCodec.offer(offer));
+            }
+        }
+    }
+
+    void answered(String peer, JsonNode answer, double sentAt, double now) {
+        if (caretakers == null) {
+            return;
+        }
+        Caretakers.Word word = CareCodec.word(answer.path(CareCodec.FIELD));
+        if (word == null) {
+            caretakers.answeredWithout(peer, sentAt, now);
+        } else {
+            caretakers.answered(peer, sentAt, word, now);
+        }
+    }
+
+    /** While it may act, a leader sees to it that it can take care of its own zone when it no longer may. */
+    void provide(Cluster cluster, double knownUntil, double now) {
+        if (caretakers != null && now >= ownAt) {
+            ownAt = now + OWN_EVERY_S;
+            Offer own = caretakers.own(cluster.notToBeCaredFor(zone), knownUntil, now);
+            if (own != null) {
+                mandate.takeOwn(own, now);
+            }
+        }
+    }
+
+    // ---- as another controller ----
+
+    /** A leader asks for a grant; adds to the answer what it needs to know of this controller. */
+    void asked(JsonNode request, long term, ObjectNode answer, double now) {
+        mandate.heard(term, now);
+        Offer offer = CareCodec.offer(request.path(CareCodec.FIELD), term);
+        if (offer != null) {
+            mandate.take(offer, now);
+        }
+        answer.set(CareCodec.FIELD, CareCodec.word(mandate, term, now - startedAt, now));
+    }
+
+    /** Renews a worker's lease for want of a leader: the token to answer with; 0: it must not. */
+    long renew(MachineReport report, double now) {
+        boolean covered = mandate.covers(report.machine(), report.zone(), report.token(), now);
+        Mandate.State state = mandate.state(now);
+        if (state != said) {
+            LOG.info("term {}: caretaking of {} is {}", mandate.term(), zone, state);
+            said = state;
+        }
+        if (!covered) {
+            return 0;
+        }
+        mandate.cared(now);
+        if (caretakers != null) {
+            caretakers.caredHere(now);
+        }
+        return mandate.term();
+    }
+}
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -50,11 +50,6 @@
     private static final double DECISION_SHARE = 2;
     private static final double TYPES_EVERY_S = 45;
     private static final double NEWS_EVERY_S = 1.0;
-    private static final int RELAY_TIMEOUT_MS = 2000;
-    /** How long a report may wait for an election that is under way here, and how often that is looked at. */
-    private static final double PARK_S = 0.8;
-    private static final double PARK_STEP_S = 0.05;
-    private static final int MOST_PARKED = 200;
     private static final int STATE_CONNECTIONS = 6;
 
     /** Counts for the metrics, by what happened. */
@@ -86,8 +81,8 @@
     private double newsAt;
     private double ledSince;
     private Map<String, UserApi.Counts> counts = new HashMap<>();
-    private final Routes routes;
-    private int parked;
+    private final Caretaking caretaking;
+    private final Reports reports;
 
     public Controller(Settings settings, OperatorSettings operator, XnioIoThread thread, ByteBufferPool buffers, double startedAt) {
         this.settings = settings;
@@ -119,7 +114,9 @@
         peers = new PeerCalls(callers, this::garbage);
         leadership = new Leadership(settings.node(), settings.peers().stream().map(Settings.Peer::node).toList(), state, peers, loop,
                 operator.leaderLeaseMs(), operator.grantMs(), startedAt, this);
-        routes = new Routes(settings.peers().stream().map(Settings.Peer::node).toList(), settings.workers().leaseS());
+        caretaking = new Caretaking(settings, operator.caretaking(), startedAt);
+        reports = new Reports(leadership, peers, loop, counters,
+                new Routes(settings.peers().stream().map(Settings.Peer::node).toList(), settings.workers().leaseS()), caretaking, this::lead);
         api = new UserApi(state, committer, loop, System::currentTimeMillis, new UserApi.Knowledge() {
             @Override
             public Collection<MachineType> types() {
@@ -173,6 +170,7 @@
             }
             askCloud(now);
             handOverIfCutOff(now);
+            caretaking.provide(cluster, store.knownUntil(), now);
         }
         workers.sweep(now);
     }
@@ -282,7 +280,7 @@
         }
         store = new Store(state, committer, loop, System::currentTimeMillis, (int) (settings.stateLimits().valueKb() * 1024), termVersion,
                 () -> election.resign("the term has moved on", loop.now()), this::soon);
-        cluster = new Cluster(operator.policy(settings), this, term, types, loop.now());
+        cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), term, types, loop.now());
         Cluster loading = cluster;
         Store reading = store;
         store.load(cluster, () -> {
@@ -305,6 +303,7 @@
         store = null;
         cluster = null;
         loaded = false;
+        caretaking.ended();
     }
 
     @Override
@@ -321,6 +320,18 @@
         return m;
     }
 
+    @Override
+    public void asking(String peer, ObjectNode request) {
+        if (loaded) {
+            caretaking.ask(peer, request, cluster, store.knownUntil(), loop.now());
+        }
+    }
+
+    @Override
+    public void answered(String peer, ObjectNode answer, double sentAt) {
+        caretaking.answered(peer, answer, sentAt, loop.now());
+    }
+
     private Map<String, UserApi.Counts> collect() {
         Map<String, UserApi.Counts> all = new HashMap<>();
         for (Job j : cluster.jobs()) {
@@ -350,66 +361,8 @@
 
     // ---- reports ----
 
-    public void report(HttpServerExchange exchange, byte[] body) {
-        ObjectNode message;
-        MachineReport report;
-        try {
-            message = Cbor.decode(body);
-            report = Codec.report(message);
-        } catch (BadMessage e) {
-            counters.badMessages++;
-            LOG.debug("report: {}", e.getMessage());
-            HttpServing.status(exchange, 400);
-            return;
-        }
-        counters.reports++;
-        handle(exchange, message, report, loop.now() + PARK_S);
-    }
-
-    private void handle(HttpServerExchange exchange, ObjectNode message, MachineReport report, double parkUntil) {
-        double now = loop.now();
-        Election election = leadership.election();
-        if (election.state() == Election.State.LEADER) {
-            counters.directReportAt = now;
-            ObjectNode answer = lead(report);
-            if (answer == null) {
-                HttpServing.status(exchange, 503);
-            } else {
-                HttpServing.cbor(exchange, 200, answer);
-            }
-            return;
-        }
-        if (election.state() != Election.State.FOLLOWER && now < parkUntil && parked < MOST_PARKED) {
-            // The election is about to end here, and may end with this controller leading.
-            parked++;
-            loop.after(PARK_STEP_S, () -> {
-                parked--;
-                handle(exchange, message, report, parkUntil);
-            });
-            return;
-        }
-        String leader = election.leader();
-        boolean reachesUs = leadership.heardFromLeader(now);
-        Routes.Route route = routes.route(report.machine(), leader != null && peers.knows(leader) ? leader : null, reachesUs, now);
-        if (route.relay()) {
-            relay(exchange, message, report.machine(), route.node());
-        } else {
-            HttpServing.cbor(exchange, 421, Codec.redirect(route.node()));
-        }
-    }
-
-    /** Passes a report on to the leader, for a worker that can't reach it or may soon lose its lease on the way. */
-    private void relay(HttpServerExchange exchange, ObjectNode message, String machine, String leader) {
-        counters.relayed++;
-        peers.call(leader, "/peer/report", message, RELAY_TIMEOUT_MS, answer -> {
-            boolean ok = answer != null && answer.status() == 200;
-            routes.relayed(machine, ok, loop.now());
-            if (ok) {
-                HttpServing.cbor(exchange, 200, answer.body());
-            } else {
-                HttpServing.status(exchange, 503);
-            }
-        });
+    Reports reports() {
+        return reports;
     }
 
     /** The answer to a report, if this controller may give one. */
@@ -448,22 +401,9 @@
                     news.put(e.getKey(), new UserApi.Counts(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
             counts = news;
         }
-        HttpServing.json(exchange, 200, Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0));
-    }
-
-    public void relayed(HttpServerExchange exchange, byte[] body) {
-        try {
-            MachineReport report = Codec.report(Cbor.decodeJson(body));
-            ObjectNode answer = leadership.election().state() == Election.State.LEADER ? lead(report) : null;
-            if (answer == null) {
-                HttpServing.status(exchange, 503);
-            } else {
-                HttpServing.json(exchange, 200, answer);
-            }
-        } catch (BadMessage e) {
-            counters.badMessages++;
-            HttpServing.status(exchange, 400);
-        }
+        ObjectNode answer = Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0);
+        caretaking.asked(m, m.path("term").asLong(), answer, loop.now());
+        HttpServing.json(exchange, 200, answer);
     }
 
     // ---- users ----
@@ -498,7 +438,7 @@
     public void orders(Machine machine, long session, List<Command> commands) {
         Cluster asking = cluster;
         if (!mayAct() || machine.address() == null) {
-            loop.after(0, () -> ordersEnded(asking, machine.name, Cluster.OrderOutcome.NOT_SENT, null));
+            loop.after(0, () -> ordersEnded(asking, machine.name, Cluster.OrderOutcome.NOT_TRIED, null));
             return;
         }
         counters.orders++;
--- a/src/main/java/io/kelphoist/daemon/Counters.java
+++ b/src/main/java/io/kelphoist/daemon/Counters.java
@@ -4,6 +4,7 @@
 final class Counters {
     volatile long reports;
     volatile long relayed;
+    volatile long cared;
     volatile long orders;
     volatile long unanswered;
     volatile long badMessages;
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -81,7 +81,7 @@
         String path = exchange.getRequestPath();
         String method = exchange.getRequestMethod().toString();
         if (path.equals("/v1/report") && method.equals("POST")) {
-            HttpServing.withBody(exchange, Codec.MOST_BODY, controller::report);
+            HttpServing.withBody(exchange, Codec.MOST_BODY, controller.reports()::direct);
         } else if (path.equals("/work") && method.equals("POST")) {
             HttpServing.withBody(exchange, Codec.MOST_BODY, controller.api()::submit);
         } else if (path.startsWith("/work/")) {
@@ -114,7 +114,7 @@
         return exchange -> {
             switch (exchange.getRequestPath()) {
                 case "/peer/grant" -> HttpServing.withBody(exchange, PEER_BODY, controller::grant);
-                case "/peer/report" -> HttpServing.withBody(exchange, PEER_BODY, controller::relayed);
+                case "/peer/report" -> HttpServing.withBody(exchange, PEER_BODY, controller.reports()::relayed);
                 default -> HttpServing.status(exchange, 404);
             }
         };
--- a/src/main/java/io/kelphoist/daemon/Leadership.java
+++ b/src/main/java/io/kelphoist/daemon/Leadership.java
@@ -18,6 +18,9 @@
     private static final int PEER_TIMEOUT_MS = 800;
     /** Several times as long as between two requests for a grant. */
     private static final double LEADER_QUIET_S = 2.0;
+    /** The leader is quiet for so long: whether the state service is there is asked, and how often. */
+    private static final double PROBE_AFTER_S = 1.0;
+    private static final double PROBE_EVERY_S = 0.8;
 
     /** Told of terms that begin and end here. */
     interface Listener {
@@ -27,6 +30,11 @@
 
         /** What the leader tells the others with each request for a grant. */
         ObjectNode news();
+
+        /** A request for a grant is about to go to a peer: what else is there to say to it? */
+        void asking(String peer, ObjectNode request);
+
+        void answered(String peer, ObjectNode answer, double sentAt);
     }
 
     private final String self;
@@ -46,6 +54,8 @@
     private String lastLeader;
     private double leaderChangedAt = Double.NEGATIVE_INFINITY;
     private double peerStateOk = Double.NEGATIVE_INFINITY;
+    private double keysAt = Double.NEGATIVE_INFINITY;
+    private double probeAt;
 
     Leadership(String self, List<String> peerNames, StateClient state, PeerCalls peers, StateClient.Loop loop, long leaseMs, long grantMs,
                double startedAt, Listener listener) {
@@ -69,6 +79,21 @@
             leaderChangedAt = loop.now();
         }
         election.tick(loop.now());
+        probe(loop.now());
+    }
+
+    /** Where the leader is quiet it matters whether the state service is, too: a watch alone tells that seconds later. */
+    private void probe(double now) {
+        if (election.state() == Election.State.FOLLOWER && now >= probeAt && now - leaderHeardAt > PROBE_AFTER_S
+                && now - leaderChangedAt > PROBE_AFTER_S) {
+            probeAt = now + PROBE_EVERY_S;
+            readKeys();
+        }
+    }
+
+    /** Whether the keys could be read a moment ago, while the leader was quiet. */
+    boolean seesKeys(double now) {
+        return now - keysAt < PROBE_EVERY_S * 2.5;
     }
 
     // ---- following the keys ----
@@ -84,6 +109,7 @@
                 loop.after(0.25, this::readKeys);
                 return;
             }
+            keysAt = loop.now();
             boolean first = watched < 0;
             watched = Math.max(watched, range.revision());
             if (first) {
@@ -228,12 +254,16 @@
     @Override
     public void askForGrant(String peer, long term, double sentAt) {
         ObjectNode body = listener.news().put("term", term).put("from", self).put("state_ok", state.failingFor() == 0);
+        listener.asking(peer, body);
         peers.call(peer, "/peer/grant", body, PEER_TIMEOUT_MS, answer -> {
             if (answer != null && answer.status() == 200) {
                 if (answer.body().path("granted").asBoolean()) {
                     election.onGranted(peer, term, sentAt);
                 }
                 heard(answer.body());
+                if (election.state() == Election.State.LEADER && election.term() == term) {
+                    listener.answered(peer, answer.body(), sentAt);
+                }
             }
         });
     }
--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -4,6 +4,7 @@
 import io.kelphoist.config.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
@@ -41,6 +42,8 @@
         spec.version("kelphoist " + (version == null ? "(development)" : version));
         spec.addOption(file("--config", "The platform's settings file (JSON)."));
         spec.addOption(file("--operator", "The operators' own settings (protobuf text format)."));
+        spec.addOption(OptionSpec.builder("--on").paramLabel("PART").type(List.class).auxiliaryTypes(String.class).splitRegex(",")
+                .description("Switch a part on, as the operators' file can (" + String.join(", ", OperatorSettings.PARTS) + ").").build());
         spec.addOption(flag("--check", "Check the settings and exit.").build());
         spec.addOption(flag("--warm-up", "Touch what a start needs, for the class archive, and exit.").hidden(true).build());
         spec.addOption(OptionSpec.builder("-h", "--help").usageHelp(true).description("Show this help and exit.").build());
@@ -95,14 +98,14 @@
                 return 0;
             }
             return run(parsed.matchedOptionValue("--config", null), parsed.matchedOptionValue("--operator", null),
-                    parsed.hasMatchedOption("--check"));
+                    parsed.matchedOptionValue("--on", List.of()), parsed.hasMatchedOption("--check"));
         } catch (IOException | RuntimeException e) {
             System.err.println("kelphoist: can't start: " + e);
             return 1;
         }
     }
 
-    private static int run(Path config, Path operator, boolean check) throws IOException {
+    private static int run(Path config, Path operator, List<String> parts, boolean check) throws IOException {
         if (config == null) {
             System.err.println("kelphoist: --config FILE is missing, see --help");
             return 2;
@@ -111,7 +114,7 @@
         OperatorSettings own;
         try {
             settings = Settings.read(config);
-            own = operator == null ? OperatorSettings.DEFAULT : OperatorSettings.read(operator);
+            own = (operator == null ? OperatorSettings.DEFAULT : OperatorSettings.read(operator)).with(parts);
         } catch (Settings.Invalid e) {
             System.err.println("kelphoist: " + e.getMessage());
             return 2;
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -19,6 +19,7 @@
         Counters c = controller.counters;
         count("kelphoist.reports", "Reports received from workers", c, x -> x.reports);
         count("kelphoist.reports.relayed", "Reports relayed to the leader", c, x -> x.relayed);
+        count("kelphoist.reports.cared", "Reports answered for want of a leader, under its mandate", c, x -> x.cared);
         count("kelphoist.orders", "Direct orders sent to workers", c, x -> x.orders);
         count("kelphoist.orders.unanswered", "Direct orders that nobody answered", c, x -> x.unanswered);
         count("kelphoist.messages.bad", "Messages and answers that could not be understood", c, x -> x.badMessages);
--- a/src/main/java/io/kelphoist/daemon/Routes.java
+++ b/src/main/java/io/kelphoist/daemon/Routes.java
@@ -25,6 +25,8 @@
         double answeredAt = Double.NEGATIVE_INFINITY;
         double redirectedAt = Double.NEGATIVE_INFINITY;
         double relayUntil = Double.NEGATIVE_INFINITY;
+        /** Sent to another controller, as this one did not hear the leader. */
+        double sentOnAt = Double.NEGATIVE_INFINITY;
         double seenAt;
     }
 
@@ -37,12 +39,13 @@
         if (leader == null) {
             return new Route(false, null);
         }
-        if (!leaderReachesUs) {
-            return new Route(false, other(leader));
-        }
         sweep(now);
         Entry e = workers.computeIfAbsent(worker, w -> new Entry());
         e.seenAt = now;
+        if (!leaderReachesUs) {
+            e.sentOnAt = now;
+            return new Route(false, other(leader));
+        }
         if (now - e.redirectedAt < leaseS) {
             e.relayUntil = now + RELAY_FOR_S;
             e.redirectedAt = Double.NEGATIVE_INFINITY;
@@ -55,6 +58,12 @@
         return new Route(false, leader);
     }
 
+    /** Whether a worker was sent to others a lease ago at most, and so found none there that answers. */
+    boolean cameBack(String worker, double now) {
+        Entry e = workers.get(worker);
+        return e != null && now - e.sentOnAt < leaseS;
+    }
+
     void relayed(String worker, boolean answered, double now) {
         Entry e = workers.get(worker);
         if (e != null) {
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -30,7 +30,8 @@
 final class Store {
     private static final Logger LOG = LoggerFactory.getLogger(Store.class);
     private static final double PATIENCE_S = 20;
-    private static final int HOLD_MS = 8000;
+    /** Each answered watch also tells up to when all changes of jobs are known here. */
+    private static final int HOLD_MS = 1000;
 
     private final StateClient state;
     private final Committer committer;
@@ -42,6 +43,7 @@
     private final Runnable changed;
     private Cluster cluster;
     private boolean closed;
+    private double knownUntil = Double.NEGATIVE_INFINITY;
     /** Last known versions of the keys that only leaders write. */
     private final Map<String, Long> versions = new HashMap<>();
 
@@ -61,12 +63,19 @@
         closed = true;
     }
 
+    /** All changes of jobs that were stored before this moment (the loop's clock) were taken in. */
+    double knownUntil() {
+        return knownUntil;
+    }
+
     // ---- reading ----
 
     /** Reads jobs, progress and starts; a part that can't be read is read again. */
     void load(Cluster into, Runnable loaded) {
         cluster = into;
+        double since = loop.now();
         range(Keys.JOBS, jobs -> {
+            knownUntil = since;
             jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
             range(Keys.PROGRESS, progress -> {
                 progress.items().forEach(i -> page(i, Keys.PROGRESS,
@@ -133,11 +142,13 @@
         if (closed) {
             return;
         }
+        double since = loop.now();
         state.watch(Keys.JOBS, after, HOLD_MS, result -> {
             if (closed) {
                 return;
             }
             if (result instanceof StateClient.Done d && d.status() == 200) {
+                knownUntil = since;
                 for (JsonNode e : d.body().path("events")) {
                     if (e.has("put")) {
                         job(e.path("put").asText(), e.path("value"), e.path("entry").asLong());
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -35,8 +35,9 @@
         Rehearsal rehearsal = new Rehearsal(outside);
         try {
             Settings settings = settings(own, freePort(), outside);
+            OperatorSettings operator = operator();
             for (int term = 1; term <= 2; term++) {
-                Daemon daemon = Daemon.start(settings, OperatorSettings.DEFAULT, System.nanoTime() * 1e-9);
+                Daemon daemon = Daemon.start(settings, operator, System.nanoTime() * 1e-9);
                 play("http://127.0.0.1:" + own, "http://" + settings.peerListen(), rehearsal, term);
                 daemon.stop();
                 rehearsal.endLease();
@@ -68,6 +69,17 @@
         }
     }
 
+    /** Read, and not the default ones: a start reads them. */
+    private static OperatorSettings operator() throws IOException, Settings.Invalid {
+        Path file = Files.createTempFile("kelphoist", ".textproto");
+        try {
+            Files.writeString(file, "caretaking: true idle_s: 40");
+            return OperatorSettings.read(file);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return s.getLocalPort();
