--- a/src/main/java/io/kelphoist/care/Caretakers.java
+++ b/src/main/java/io/kelphoist/care/Caretakers.java
@@ -4,8 +4,10 @@
 import com.google.common.collect.Sets;
 import io.kelphoist.core.OtherAnswers;
 import io.kelphoist.core.Policy;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -36,12 +38,32 @@
      */
     public record Word(long life, double clock, double upS, double caredS, long seq) { }
 
+    /**
+     * What is to be put on record of a peer's mandate, for the next leader.
+     *
+     * @param base from when its time runs at the latest, on the core's clock; not a number: there is nothing to know any more
+     */
+    public record Note(String peer, double base) { }
+
+    /** How a note is stored with respect to what is known; {@link Peer#noted} is the one place where it changes. */
+    private enum Noted {
+        /** Nothing of use is on record. */
+        NOTHING,
+        /** Sent, without an outcome. */
+        WRITING,
+        /** On record is from when its mandate runs: no newer one may be given. */
+        BASE
+    }
+
     /** More machines than these are not listed: the mandate is taken back instead. */
     static final int MOST_EXCEPT = 200;
+    /** A peer that is quiet for so long may stay so: the next leader should know since when. */
+    private static final double NOTE_AFTER_S = 3;
 
     private static final class Peer {
         final String zone;
         State state = State.UNHEARD;
+        Noted noted = Noted.NOTHING;
         /** When the last request that it answered was sent, and when the answer came. */
         double askedAt = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
@@ -67,25 +89,36 @@
         void to(State next) {
             state = next;
         }
+
+        void noted(Noted next) {
+            noted = next;
+        }
     }
 
     private final Care care;
     private final boolean gives;
     private final long term;
+    private final String self;
     private final String zone;
+    private final double startedAt;
     private final Map<String, Peer> peers = new LinkedHashMap<>();
     private double ownCared = Double.NEGATIVE_INFINITY;
     private long ownSeq;
+    /** What an earlier leader noted of this controller: it says nothing of what this one may do as a leader that is cut off. */
+    private Noted ownNoted = Noted.NOTHING;
 
     /**
      * @param care what the settings leave, whether or not this controller gives any mandate: an earlier leader may have
      * @param gives whether this leader gives mandates
+     * @param self this controller, in this zone
      * @param zones the other controllers and their zones
      */
-    public Caretakers(Care care, boolean gives, long term, String zone, Map<String, String> zones, double now) {
+    public Caretakers(Care care, boolean gives, long term, String self, String zone, Map<String, String> zones, double now) {
         this.care = care;
         this.gives = gives && care.any();
         this.term = term;
+        this.self = self;
+        this.startedAt = now;
         this.zone = zone;
         zones.forEach((name, itsZone) -> peers.put(name, new Peer(itsZone, care.any() ? now : Double.NEGATIVE_INFINITY)));
     }
@@ -157,7 +190,7 @@
     /** A mandate to send along with a request; null: none now. */
     public Offer offer(String peer, Collection<String> except, double knownUntil, double now) {
         Peer p = peers.get(peer);
-        if (p == null || !all()) {
+        if (p == null || !all() || p.noted != Noted.NOTHING) {
             return null;
         }
         boolean none = except.size() > MOST_EXCEPT;
@@ -173,9 +206,54 @@
         return new Offer(term, p.life, p.seq, none ? Offer.NEVER : p.itsClock - unseen, p.offeredExcept);
     }
 
+    /** An earlier leader's note: a mandate of that peer runs from then at the latest. */
+    public void recorded(String peer, double base) {
+        Peer p = peers.get(peer);
+        if (peer.equals(self)) {
+            ownNoted = Noted.BASE;
+        } else if (p != null) {
+            p.noted(Noted.BASE);
+            if (p.state == State.UNHEARD) {
+                p.base = Math.min(p.base, base);
+            }
+        }
+    }
+
+    /**
+     * What is to be stored now: of a peer that has become quiet, from when its mandate runs, so that a next leader need not
+     * count from its own beginning; of one that is heard again, that there is nothing to know. Until that is stored it
+     * gets no mandate, so that what is on record is never too early. A change each time a peer is lost or found.
+     */
+    public List<Note> notes(double now) {
+        List<Note> due = new ArrayList<>();
+        if (gives && ownNoted == Noted.BASE) {
+            ownNoted = Noted.WRITING;
+            due.add(new Note(self, Double.NaN));
+        }
+        peers.forEach((name, p) -> {
+            boolean heard = now < p.askedAt + care.quietS();
+            boolean lost = now > Math.max(p.askedAt, startedAt) + NOTE_AFTER_S && now < until(p);
+            if (gives && (p.noted == Noted.BASE && heard || p.noted == Noted.NOTHING && lost)) {
+                due.add(new Note(name, heard ? Double.NaN : p.base));
+                p.noted(Noted.WRITING);
+            }
+        });
+        return due;
+    }
+
+    /** A note of {@link #notes} was stored; or it is unsure, and then it counts as what it might be. */
+    public void stored(Note note, boolean surely) {
+        Noted now = surely && Double.isNaN(note.base()) ? Noted.NOTHING : Noted.BASE;
+        if (note.peer().equals(self)) {
+            ownNoted = now;
+        } else {
+            peers.get(note.peer()).noted(now);
+        }
+    }
+
     /** What this controller may do itself if it can lead no longer; null: nothing. */
     public Offer own(Collection<String> except, double knownUntil, double now) {
-        return all() ? new Offer(term, 0, ++ownSeq, Math.min(knownUntil, now), ImmutableSet.copyOf(except)) : null;
+        return all() && ownNoted == Noted.NOTHING ? new Offer(term, 0, ++ownSeq, Math.min(knownUntil, now), ImmutableSet.copyOf(except)) : null;
     }
 
     /** This controller renewed a lease while it could not lead. */
--- a/src/main/java/io/kelphoist/config/Settings.java
+++ b/src/main/java/io/kelphoist/config/Settings.java
@@ -20,7 +20,10 @@
 public record Settings(
         String node, String zone, String serveOn, String peerListen, List<Peer> peers, String cloud, String state,
         List<String> zones, List<Team> teams, Workers workers, StateLimits stateLimits, CloudLimits cloudLimits, Map<String, Double> startWithinS,
-        int sockets) {
+        int sockets, double clockErrorMs) {
+
+    /** Where the platform says nothing of it. */
+    private static final double USUAL_CLOCK_ERROR_MS = 1000;
 
     public record Peer(String node, String zone, String address) { }
 
@@ -102,7 +105,11 @@
                             positive(w, "cancel_s", "cluster.workers.")),
                     stateLimits(s),
                     new CloudLimits(positive(c, "rps", "cluster.cloud."), positive(c, "list_lag_s", "cluster.cloud.")),
-                    startWithin(cluster), sockets(cluster));
+                    startWithin(cluster), sockets(cluster), clockErrorMs(cluster));
+        }
+
+        private double clockErrorMs(JsonNode cluster) throws Invalid {
+            return cluster.hasNonNull("clock_error_ms") ? amount(cluster, "clock_error_ms", "cluster.") : USUAL_CLOCK_ERROR_MS;
         }
 
         private int sockets(JsonNode cluster) throws Invalid {
--- a/src/main/java/io/kelphoist/daemon/Caretaking.java
+++ b/src/main/java/io/kelphoist/daemon/Caretaking.java
@@ -23,9 +23,11 @@
 
     private final Care care;
     private final boolean on;
+    private final String self;
     private final String zone;
     private final Map<String, String> zones = new LinkedHashMap<>();
     private final double startedAt;
+    private final double clockErrorMs;
     private final Mandate mandate;
     /** Of the term that is led here; null: none is. */
     private Caretakers caretakers;
@@ -36,8 +38,10 @@
     Caretaking(Settings settings, boolean on, double startedAt) {
         this.care = Care.of(settings.workers().cancelS(), settings.workers().leaseS());
         this.on = on;
+        this.self = settings.node();
         this.zone = settings.zone();
         this.startedAt = startedAt;
+        this.clockErrorMs = settings.clockErrorMs();
         settings.peers().forEach(p -> zones.put(p.node(), p.zone()));
         mandate = new Mandate(care, zone, System.currentTimeMillis());
     }
@@ -46,7 +50,7 @@
 
     OtherAnswers begin(long term, double now) {
         mandate.outranked(term);
-        caretakers = new Caretakers(care, on, term, zone, zones, now);
+        caretakers = new Caretakers(care, on, term, self, zone, zones, now);
         return caretakers;
     }
 
@@ -76,6 +80,24 @@
         }
     }
 
+    /** From the record of an earlier leader; {@code baseMs} by the time of day, not a number: nothing. */
+    void recorded(String peer, double baseMs, double nowMs, double now) {
+        if (caretakers != null && !Double.isNaN(baseMs)) {
+            // Two controllers' times of day differ by twice the bound at most.
+            caretakers.recorded(peer, now - (nowMs - baseMs - 2 * clockErrorMs) / 1000);
+        }
+    }
+
+    /** Puts on record what a next leader should know; the outcome of each goes to the one that it was asked of. */
+    void note(Store store, double nowMs, double now) {
+        Caretakers asking = caretakers;
+        if (asking != null) {
+            for (Caretakers.Note note : asking.notes(now)) {
+                store.mandate(note.peer(), nowMs - (now - note.base()) * 1000, stored -> asking.stored(note, stored));
+            }
+        }
+    }
+
     /** While it may act, a leader sees to it that it can take care of its own zone when it no longer may. */
     void provide(Cluster cluster, double knownUntil, double now) {
         if (caretakers != null && now >= ownAt) {
@@ -99,6 +121,12 @@
         answer.set(CareCodec.FIELD, CareCodec.word(mandate, term, now - startedAt, now));
     }
 
+    /** Whether leases may be renewed here, now or as soon as the leader is quiet. */
+    boolean mandated(double now) {
+        Mandate.State state = mandate.state(now);
+        return state == Mandate.State.HELD || state == Mandate.State.CARING;
+    }
+
     /** Renews a worker's lease for want of a leader: the token to answer with; 0: it must not. */
     long renew(MachineReport report, double now) {
         boolean covered = mandate.covers(report.machine(), report.zone(), report.token(), now);
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -190,6 +190,7 @@
             askCloud(now);
             handOverIfCutOff(now);
             caretaking.provide(cluster, store.knownUntil(), now);
+            caretaking.note(store, System.currentTimeMillis(), now);
             tellLoad(now);
         }
         workers.sweep(now);
@@ -304,7 +305,7 @@
         cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), term, types, loop.now());
         Cluster loading = cluster;
         Store reading = store;
-        store.load(cluster, () -> {
+        store.load(cluster, (peer, baseMs) -> caretaking.recorded(peer, baseMs, System.currentTimeMillis(), loop.now()), () -> {
             if (cluster == loading) {
                 loaded = true;
                 reading.types(types);
@@ -451,6 +452,10 @@
         connections.incoming(open);
     }
 
+    boolean mandated() {
+        return caretaking.mandated(loop.now());
+    }
+
     int workerConnections() {
         return connections.size();
     }
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -39,6 +39,7 @@
         gauge("kelphoist.machines", "Machines, on the leader", x -> cluster(x, k -> k.machines().size()));
         gauge("kelphoist.machines.up", "Machines that report, on the leader",
                 x -> cluster(x, k -> k.machines().stream().filter(m -> m.state() == Machine.State.UP).count()));
+        gauge("kelphoist.mandate", "1 while this controller may renew leases if the leader is quiet", x -> x.mandated() ? 1 : 0);
         gauge("kelphoist.connections.workers", "Connections that workers keep to this controller", Controller::workerConnections);
         gauge("kelphoist.connections.orders", "Connections to workers, for orders", Controller::orderLines);
         gauge("kelphoist.writes.waiting", "Writes that wait for the state service", Controller::writesWaiting);
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.ObjDoubleConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -70,8 +71,8 @@
 
     // ---- reading ----
 
-    /** Reads jobs, progress and starts; a part that can't be read is read again. */
-    void load(Cluster into, Runnable loaded) {
+    /** Reads jobs, progress, starts and mandates; a part that can't be read is read again. */
+    void load(Cluster into, ObjDoubleConsumer<String> mandated, Runnable loaded) {
         cluster = into;
         double since = loop.now();
         range(Keys.JOBS, jobs -> {
@@ -83,10 +84,17 @@
                 range(Keys.STARTS, starts -> {
                     starts.items().forEach(i -> page(i, Keys.STARTS,
                             (page, value) -> Records.starts(value).forEach(start -> into.onStartLoaded(page, start, loop.now()))));
-                    hints(into);
-                    into.onLoaded();
-                    loaded.run();
-                    watchJobs(jobs.revision());
+                    range(Keys.MANDATES, mandates -> {
+                        mandates.items().forEach(i -> {
+                            String key = i.path("key").asText();
+                            versions.put(key, i.path("entry").asLong());
+                            mandated.accept(key.substring(Keys.MANDATES.length()), Records.mandate(i.path("value")));
+                        });
+                        hints(into);
+                        into.onLoaded();
+                        loaded.run();
+                        watchJobs(jobs.revision());
+                    });
                 });
             });
         });
@@ -290,6 +298,11 @@
         });
     }
 
+    /** Never deleted but written over: a write that comes late then finds another version. */
+    void mandate(String peer, double baseMs, Consumer<Boolean> stored) {
+        own(Keys.MANDATES + peer, Records.mandate(baseMs), true, end -> stored.accept(end == PageOutcome.STORED));
+    }
+
     void types(List<MachineType> types) {
         write(false, List.of(), List.of(new StateClient.Change(Keys.TYPES, Codec.types(types), 0)), 1000, (outcome, revision) -> { });
     }
--- a/src/main/java/io/kelphoist/state/Keys.java
+++ b/src/main/java/io/kelphoist/state/Keys.java
@@ -17,6 +17,9 @@
     /** Pages of what may be on machines. */
     public static final String STARTS = "s/";
 
+    /** Below it, by controller: from when a mandate that it was given runs. */
+    public static final String MANDATES = "q/";
+
     /** Gives every page's number as many digits. */
     private static final int FIRST_PAGE = 1_000_000;
 
--- a/src/main/java/io/kelphoist/state/Records.java
+++ b/src/main/java/io/kelphoist/state/Records.java
@@ -111,6 +111,17 @@
         return all;
     }
 
+    /** From when a controller's mandate runs at the latest, by the time of day; not a number: there is nothing to know. */
+    public static ObjectNode mandate(double baseMs) {
+        ObjectNode m = Cbor.map();
+        return Double.isNaN(baseMs) ? m.putNull("base") : m.put("base", (long) Math.ceil(baseMs));
+    }
+
+    /** Not a number: there is nothing to know. */
+    public static double mandate(JsonNode value) {
+        return value.path("base").isIntegralNumber() ? value.path("base").asLong() : Double.NaN;
+    }
+
     /** By machine: the images it should have cached, with their sizes, least recently used first. */
     public static ObjectNode images(List<MachineImages> machines) {
         ObjectNode m = Cbor.map();
