One admission for every door: rules leave the HTTP handler for a package of their own

Need: a second door (gRPC) must accept, refuse and put off by the very same rules as POST /work. Records of done jobs also keep team and class (fields added, older ones stay readable), as who may ask for a job is decided by them. No rule and no answer changed.

--- /dev/null
+++ b/src/main/java/io/kelphoist/admission/Answer.java
@@ -0,0 +1,56 @@
+package io.kelphoist.admission;
+
+import io.kelphoist.core.Owner;
+
+/** What a user is told, whatever the door he came through. */
+public sealed interface Answer {
+    /** How far a job is, in the users' words. */
+    enum Phase {
+        QUEUED, RUNNING, DONE, CANCELLED;
+
+        public boolean isFinal() {
+            return this == DONE || this == CANCELLED;
+        }
+    }
+
+    /**
+     * A job as it stands.
+     *
+     * @param owner null: not on record, see {@link io.kelphoist.core.JobRecord}
+     * @param version revision of the record's last change
+     */
+    record Standing(String id, Owner owner, Phase phase, int done, int running, long atMs, long version) { }
+
+    /** It was not known before, and is stored now. */
+    record Accepted(Standing job) implements Answer { }
+
+    /** It was stored already, or nothing was to be stored. */
+    record Known(Standing job) implements Answer { }
+
+    /** There is no such job. */
+    record Absent() implements Answer { }
+
+    /** Never, as it stands. */
+    record Refused(Reason reason, String why) implements Answer {
+        /** What is wrong with it. */
+        public enum Reason {
+            /** It can't be understood, or not be stored. */
+            MALFORMED,
+            /** It is understood, and could never run here. */
+            IMPOSSIBLE
+        }
+    }
+
+    /** Not now; the same request may be made again after a while. */
+    record Later(PutOff why, int afterS) implements Answer { }
+
+    /** Why a request can't be taken now, for the log and the metrics. */
+    enum PutOff {
+        /** The machine types were never read. */
+        TYPES_UNKNOWN,
+        /** The state service can't be asked, or its record means nothing to this version. */
+        UNSURE,
+        /** The state service did not take the write. */
+        NOT_STORED
+    }
+}
--- a/src/main/java/io/kelphoist/api/JobLookup.java
+++ b/src/main/java/io/kelphoist/admission/JobLookup.java
@@ -1,4 +1,4 @@
-package io.kelphoist.api;
+package io.kelphoist.admission;
 
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
@@ -50,7 +50,7 @@
     private final StateClient.Loop loop;
     private final double recentS;
     /** Final states that were read: they never change, so they can be said even without the state service. */
-    private final Cache<String, JobStatus> finals = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
+    private final Cache<String, JobRecord> finals = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
     private final JobMirror mirror;
     private final Map<String, List<Consumer<Found>>> asked = new HashMap<>();
 
@@ -64,9 +64,9 @@
 
     /** What is stored now. */
     void read(String id, Consumer<Found> handler) {
-        JobStatus known = finals.getIfPresent(id);
+        JobRecord known = finals.getIfPresent(id);
         if (known != null) {
-            handler.accept(new Known(new JobRecord(id, null, known, 0, 0)));
+            handler.accept(new Known(known));
             return;
         }
         if (mirror.get(id) == null) {
@@ -74,10 +74,10 @@
             return;
         }
         mirror.join(round -> {
-            JobStatus ended = finals.getIfPresent(id);
+            JobRecord ended = finals.getIfPresent(id);
             JobRecord record = mirror.get(id);
             if (ended != null) {
-                handler.accept(new Known(new JobRecord(id, null, ended, 0, 0)));
+                handler.accept(new Known(ended));
             } else if (round == JobMirror.Round.UNAVAILABLE) {
                 handler.accept(new Unavailable());
             } else if (round == JobMirror.Round.CURRENT && record != null) {
@@ -145,7 +145,7 @@
     }
 
     private void ended(JobRecord record) {
-        finals.put(record.id(), record.status());
+        finals.put(record.id(), record.outline());
         mirror.ended(record.id());
     }
 
--- a/src/main/java/io/kelphoist/api/JobMirror.java
+++ b/src/main/java/io/kelphoist/admission/JobMirror.java
@@ -1,4 +1,4 @@
-package io.kelphoist.api;
+package io.kelphoist.admission;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.cache.Cache;
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -873,7 +873,7 @@
     private void store(Job job) {
         if (job.state() == Job.State.FINISHING && !job.storing) {
             job.storing = true;
-            effects.storeDone(job.spec.id(), job.version);
+            effects.storeDone(job.spec, job.version);
         }
     }
 }
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -11,7 +11,7 @@
     void storeProgress(int page, List<TaskProgress> progress);
 
     /** Stores that a job is done; outcome: {@link Cluster#onJob}, or {@link Cluster#onEndNotStored}. */
-    void storeDone(String job, long version);
+    void storeDone(JobSpec job, long version);
 
     /** Stores that a job is cancelled with one that it needs; outcome as of {@link #storeDone}. */
     void storeCancelled(JobRecord job);
--- a/src/main/java/io/kelphoist/core/JobRecord.java
+++ b/src/main/java/io/kelphoist/core/JobRecord.java
@@ -5,5 +5,15 @@
  *
  * @param atMs when it was accepted; of a done job, when that was stored (0: not on record)
  * @param version revision of the record's last change at the state service
+ * @param owner null: not on record, as of jobs that ended before it was kept
  */
-public record JobRecord(String id, JobSpec spec, JobStatus status, long atMs, long version) { }
+public record JobRecord(String id, JobSpec spec, JobStatus status, long atMs, long version, Owner owner) {
+    public JobRecord(String id, JobSpec spec, JobStatus status, long atMs, long version) {
+        this(id, spec, status, atMs, version, spec == null ? null : spec.owner());
+    }
+
+    /** The same without the description, for those that keep many. */
+    public JobRecord outline() {
+        return new JobRecord(id, null, status, atMs, version, owner);
+    }
+}
--- a/src/main/java/io/kelphoist/core/JobSpec.java
+++ b/src/main/java/io/kelphoist/core/JobSpec.java
@@ -19,6 +19,10 @@
     /** Longer names are cut in {@link #abridged}. */
     private static final int SHORT_NAME = 64;
 
+    public Owner owner() {
+        return new Owner(team, jobClass);
+    }
+
     public boolean allowsType(String type) {
         return types == null || types.contains(type);
     }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -1,6 +1,7 @@
 package io.kelphoist.daemon;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.admission.Admission;
 import io.kelphoist.api.UserApi;
 import io.kelphoist.cloud.CloudClient;
 import io.kelphoist.config.OperatorSettings;
@@ -11,6 +12,7 @@
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Job;
 import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
@@ -69,6 +71,7 @@
     private final WorkerCalls workers;
     private final PeerCalls peers;
     private final Leadership leadership;
+    private final Admission admission;
     private final UserApi api;
 
     private List<MachineType> types = List.of();
@@ -84,7 +87,7 @@
     private double newsAt;
     private double ledSince;
     private double loadAt;
-    private Map<String, UserApi.Counts> counts = new HashMap<>();
+    private Map<String, Admission.Counts> counts = new HashMap<>();
     private final Caretaking caretaking;
     private final WorkerConnections connections;
     private final Reports reports;
@@ -124,17 +127,18 @@
         caretaking = new Caretaking(settings, operator.caretaking(), startedAt);
         reports = new Reports(leadership, peers, loop, counters,
                 new Routes(settings.peerZones(), settings.workers().leaseS()), caretaking, connections, this::lead);
-        api = new UserApi(state, committer, loop, System::currentTimeMillis, new UserApi.Knowledge() {
+        admission = new Admission(state, committer::submit, loop, System::currentTimeMillis, new Admission.Knowledge() {
             @Override
             public Collection<MachineType> types() {
                 return types;
             }
 
             @Override
-            public UserApi.Counts counts(String job) {
+            public Admission.Counts counts(String job) {
                 return Controller.this.counts.get(job);
             }
         }, settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS());
+        api = new UserApi(admission);
         beat();
         readTypes();
     }
@@ -354,11 +358,11 @@
         caretaking.answered(peer, answer, sentAt, loop.now());
     }
 
-    private Map<String, UserApi.Counts> collect() {
-        Map<String, UserApi.Counts> all = new HashMap<>();
+    private Map<String, Admission.Counts> collect() {
+        Map<String, Admission.Counts> all = new HashMap<>();
         for (Job j : cluster.jobs()) {
             if (j.doneCount() + j.runningCount() > 0 && all.size() < 1000) {
-                all.put(j.spec.id(), new UserApi.Counts(j.doneCount(), j.runningCount()));
+                all.put(j.spec.id(), new Admission.Counts(j.doneCount(), j.runningCount()));
             }
         }
         return all;
@@ -419,9 +423,9 @@
         leadership.heardLeader(m.path("from").asText());
         boolean granted = m.path("term").isIntegralNumber() && leadership.election().grant(m.path("term").asLong(), loop.now());
         if (m.has("jobs") && cluster == null) {
-            Map<String, UserApi.Counts> news = new HashMap<>();
+            Map<String, Admission.Counts> news = new HashMap<>();
             m.path("jobs").fields().forEachRemaining(e ->
-                    news.put(e.getKey(), new UserApi.Counts(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
+                    news.put(e.getKey(), new Admission.Counts(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
             counts = news;
         }
         ObjectNode answer = Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0);
@@ -431,6 +435,10 @@
 
     // ---- users ----
 
+    Admission admission() {
+        return admission;
+    }
+
     public UserApi api() {
         return api;
     }
@@ -508,7 +516,7 @@
     }
 
     @Override
-    public void storeDone(String job, long version) {
+    public void storeDone(JobSpec job, long version) {
         ifStored(s -> s.done(job, version));
     }
 
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -1,6 +1,6 @@
 package io.kelphoist.daemon;
 
-import io.kelphoist.api.UserApi;
+import io.kelphoist.admission.Answer;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Machine;
@@ -29,8 +29,8 @@
         count("kelphoist.decisions", "Decisions of the leader", c, x -> x.decisions);
         count("kelphoist.decisions.seconds", "Time that decisions took", c, x -> x.decisionS);
         count("kelphoist.reports.seconds", "Time that the leader took over reports", c, x -> x.reportS);
-        for (UserApi.PutOff why : UserApi.PutOff.values()) {
-            FunctionCounter.builder("kelphoist.requests.put.off", controller.api(), api -> api.putOff(why))
+        for (Answer.PutOff why : Answer.PutOff.values()) {
+            FunctionCounter.builder("kelphoist.requests.put.off", controller.admission(), a -> a.putOff(why))
                     .description("Users' requests that got 503, by cause").tag("cause", why.name().toLowerCase(Locale.ROOT)).register(registry);
         }
         gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineType;
@@ -250,8 +251,9 @@
                 end -> cluster.onImagesStored(page, end));
     }
 
-    void done(String job, long version) {
-        end(false, new JobRecord(job, null, JobStatus.DONE, wallMs.getAsLong(), version), Records.done(wallMs.getAsLong()));
+    void done(JobSpec job, long version) {
+        long atMs = wallMs.getAsLong();
+        end(false, new JobRecord(job.id(), null, JobStatus.DONE, atMs, version, job.owner()), Records.done(atMs, job.owner()));
     }
 
     /** Before bulk work: users wait for what they cancelled. */
--- a/src/main/java/io/kelphoist/state/Records.java
+++ b/src/main/java/io/kelphoist/state/Records.java
@@ -8,6 +8,7 @@
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineImages;
+import io.kelphoist.core.Owner;
 import io.kelphoist.core.Placement;
 import io.kelphoist.core.StartedTask;
 import io.kelphoist.core.TaskProgress;
@@ -31,8 +32,10 @@
         return m;
     }
 
-    public static ObjectNode done(long atMs) {
-        return Cbor.map().put("status", "done").put("at", atMs);
+    /** Of a done job only whose it was is kept; null: not known, as earlier versions did not keep it. */
+    public static ObjectNode done(long atMs, Owner owner) {
+        ObjectNode m = Cbor.map().put("status", "done").put("at", atMs);
+        return owner == null ? m : m.put("team", owner.team()).put("class", owner.jobClass());
     }
 
     /**
@@ -59,7 +62,9 @@
             default -> throw new BadMessage("status of " + key + " is unknown");
         };
         JobSpec spec = status == JobStatus.DONE ? null : Codec.storedJob(value.path("spec"));
-        return new JobRecord(key.substring(Keys.JOBS.length()), spec, status, value.path("at").asLong(), version);
+        Owner owner = spec != null ? spec.owner()
+                : value.has("team") ? new Owner(value.path("team").asText(), value.path("class").asText()) : null;
+        return new JobRecord(key.substring(Keys.JOBS.length()), spec, status, value.path("at").asLong(), version, owner);
     }
 
     /** Jobs with the bits of their done tasks, in pieces. */
--- a/src/test/java/io/kelphoist/api/FreshReadsTest.java
+++ b/src/test/java/io/kelphoist/admission/FreshReadsTest.java
@@ -1,4 +1,4 @@
-package io.kelphoist.api;
+package io.kelphoist.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -183,7 +183,7 @@
             }
             case 4 -> {
                 if (stored(id) == 1) {
-                    world.put(id, step % 2 == 0 ? Records.done(1) : Records.cancelled(new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, 0), 4000));
+                    world.put(id, step % 2 == 0 ? Records.done(1, null) : Records.cancelled(new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, 0), 4000));
                 }
             }
             case 5 -> world.oldest = step % 3 == 0 ? world.revision : world.oldest;
--- a/src/test/java/io/kelphoist/core/Measure.java
+++ b/src/test/java/io/kelphoist/core/Measure.java
@@ -175,7 +175,7 @@
     }
 
     @Override
-    public void storeDone(String job, long jobVersion) { }
+    public void storeDone(JobSpec job, long jobVersion) { }
 
     @Override
     public void storeCancelled(JobRecord job) { }
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -337,8 +337,8 @@
     }
 
     @Override
-    public void storeDone(String job, long jobVersion) {
-        stored.add("done " + job);
+    public void storeDone(JobSpec job, long jobVersion) {
+        stored.add("done " + job.id());
     }
 
     @Override
--- a/src/test/java/io/kelphoist/wire/CodecTest.java
+++ b/src/test/java/io/kelphoist/wire/CodecTest.java
@@ -11,6 +11,7 @@
 import io.kelphoist.core.ExitReason;
 import io.kelphoist.core.JobKind;
 import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.Owner;
 import io.kelphoist.core.JobSpec;
 import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.MachineReport;
@@ -163,7 +164,8 @@
         JobRecord done = Records.job("j/job-7", cbor("{\"status\":\"done\"}"), 11);
         assertEquals(JobStatus.DONE, done.status());
         assertEquals(0, done.atMs());
-        assertEquals("{\"status\":\"done\",\"at\":12}", json(Records.done(12)));
+        assertEquals("{\"status\":\"done\",\"at\":12}", json(Records.done(12, null)));
+        assertEquals("{\"status\":\"done\",\"at\":12,\"team\":\"red\",\"class\":\"c\"}", json(Records.done(12, new Owner("red", "c"))));
         List<StartedTask> starts = Records.starts(cbor("{\"vm-1\":[\"m\",\"z\",true,\"job-7/0\",\"job-8/12\"]}"));
         assertEquals(List.of(new StartedTask("vm-1", "m", "z", true, new TaskRef("job-7", 0)),
                 new StartedTask("vm-1", "m", "z", true, new TaskRef("job-8", 12))), starts);
@@ -208,7 +210,7 @@
         JobRecord active = Records.job(Keys.job(spec.id()), Records.job(spec, 5), 9);
         assertEquals(new JobRecord(spec.id(), spec, JobStatus.ACTIVE, 5, 9), active);
         assertEquals(JobStatus.CANCELLED, Records.job(Keys.job(spec.id()), Records.cancelled(active, 4096), 10).status());
-        assertEquals(JobStatus.DONE, Records.job(Keys.job(spec.id()), Records.done(12), 11).status());
+        assertEquals(JobStatus.DONE, Records.job(Keys.job(spec.id()), Records.done(12, null), 11).status());
         BitSet done = new BitSet();
         done.set(1, 5000);
         TaskProgress progress = new TaskProgress(spec.id(), 8192, done);
