Events: what happens to a job, in order, resumable, with one end; pure

Need: streams of job events that survive slow readers, dropped clients, restarts and take-overs (wish: gRPC event streams). Change: package events. Stored facts come in the order of the state service's revisions from a compacted log that each subscription walks at its reader's pace, so that none is lost or told twice; soft events (started, moved, held, stopped) are the leader's word, bounded and merged for a slow reader. Cursors carry a MAC. Found by the property, each guarded against now: ends of named jobs that the log had dropped between look-up and open; ends dropped while a client was told from its own backlog; presents skipped at a controller that knew less than where the stream began.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -156,6 +156,9 @@
                 job.to(Job.State.CANCELLED);
             } else {
                 dependencies.added(job, now);
+                if (job.state() == Job.State.WAITING) {
+                    effects.happened(job, new Happening.Waiting());
+                }
             }
             return;
         }
@@ -300,7 +303,7 @@
         if (!m.state().reports() && m.state() != Machine.State.RETURNING) {
             return List.of();
         }
-        return commandsFor(m, report, now);
+        return Answering.commands(this, m, report);
     }
 
     /** Takes in a report that came by itself or as the answer to an order. Null: it means nothing. */
@@ -375,7 +378,7 @@
 
     private void match(Machine m, MachineReport report, double now) {
         for (TaskReport t : report.tasks()) {
-            Placement p = find(m, t);
+            Placement p = m.find(t);
             if (p == null) {
                 p = adoptTask(m, t, report.session(), now);
             }
@@ -407,15 +410,6 @@
         }
     }
 
-    private static Placement find(Machine m, TaskReport t) {
-        for (Placement p : m.placements) {
-            if (p.is(t)) {
-                return p;
-            }
-        }
-        return null;
-    }
-
     /** A task that an earlier term started. Null: nobody knows its job, it is stopped and forgotten. */
     private Placement adoptTask(Machine m, TaskReport t, long session, double now) {
         Job job = jobs.get(t.job());
@@ -527,6 +521,7 @@
         if (p.state() == Placement.State.GONE) {
             return;
         }
+        boolean ran = p.counted && !Double.isNaN(p.runningSince);
         p.to(Placement.State.GONE, p.exit(), now);
         p.machine.placements.remove(p);
         starts.ended(p);
@@ -534,6 +529,10 @@
             p.machine.idleSince = now;
         }
         uncount(p, now);
+        if (ran) {
+            effects.happened(p.job, new Happening.Stopped(p.task, p.machine.name,
+                    p.stopping() ? Happening.Cause.STOPPED : Happening.Cause.MACHINE_GONE));
+        }
     }
 
     private void advance(Placement p, TaskReport t, double now) {
@@ -556,6 +555,7 @@
         if (!ran && !Double.isNaN(p.runningSince)) {
             p.job.running++;
             p.job.gangRan = true;
+            effects.happened(p.job, new Happening.Running(p.task, p.machine.name));
             LOG.debug("{} {} task {}/{} runs on {} {} s after it was accepted, {} s after its start", p.job.spec.jobClass(), p.job.spec.kind(),
                     p.job.spec.id(), p.task, p.machine.name, round(now - p.job.acceptedAt), round(now - p.sentAt));
         }
@@ -579,7 +579,17 @@
                 progress.changed(job, p.task);
             }
         }
+        boolean ran = p.counted && !Double.isNaN(p.runningSince);
         uncount(p, now);
+        if (t.exit() == ExitReason.DONE) {
+            effects.happened(job, new Happening.Progressed(p.task, p.machine.name));
+        } else if (ran) {
+            effects.happened(job, new Happening.Stopped(p.task, p.machine.name, switch (t.exit()) {
+                case ERROR -> Happening.Cause.FAILED;
+                case PEERS, ALONE -> Happening.Cause.GANG;
+                default -> Happening.Cause.STOPPED;
+            }));
+        }
         switch (t.exit()) {
             case ERROR -> failed(p, now);
             case NO_ROOM, BUSY, UNKNOWN, ALONE -> {
@@ -625,56 +635,6 @@
         m.to(Machine.State.DRAINING, now);
     }
 
-    /** Whether a worker may forget an exited attempt: its result is stored, and no order for it is open. */
-    private boolean forgettable(Placement p) {
-        if (p.dangling || p.inFlight) {
-            return false;
-        }
-        if (p.exit() != ExitReason.DONE) {
-            return true;
-        }
-        Job job = p.job;
-        return switch (job.state()) {
-            case DONE, CANCELLING, CANCELLED -> true;
-            case FINISHING -> false;
-            case WAITING, ACTIVE -> job.storedDone.get(p.task);
-        };
-    }
-
-    private List<Command> commandsFor(Machine m, MachineReport report, double now) {
-        List<Command> calls = new ArrayList<>();
-        for (Placement p : m.placements) {
-            if (p.presumed()) {
-                continue;
-            }
-            String job = p.job.spec.id();
-            if (p.state() == Placement.State.EXITED) {
-                if (forgettable(p)) {
-                    calls.add(new Command.Forget(job, p.task, p.attempt));
-                }
-                continue;
-            }
-            // A wanted stop does not end an attempt that may yet arrive: it is started once more, and then stopped.
-            boolean mayArrive = p.dangling || p.inFlight;
-            if (p.state() == Placement.State.SENT && p.recorded && (!p.stopping() || mayArrive)) {
-                calls.add(new Command.Start(job, p.task, p.attempt));
-                p.startSent = true;
-            }
-            if (p.stopping() && (p.state() != Placement.State.SENT || mayArrive)) {
-                calls.add(new Command.Stop(job, p.task, p.attempt, p.stopGrace));
-                p.stopSent = true;
-            }
-        }
-        for (TaskReport t : report.tasks()) {
-            if (find(m, t) == null && !jobs.containsKey(t.job()) && report.newerThan(m.session, m.seq - 1)) {
-                calls.add(t.phase() == TaskPhase.EXITED
-                        ? new Command.Forget(t.job(), t.task(), t.attempt())
-                        : new Command.Stop(t.job(), t.task(), t.attempt(), 0));
-            }
-        }
-        return calls;
-    }
-
     // ---- orders ----
 
     /** Starts a task, of a job that is ready. Everything counts from here on; the order goes out once it is on record. */
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -25,6 +25,9 @@
     /** Stores a page of what machines should have cached, see {@link Cluster#imagesOn}; outcome: {@link Cluster#onImagesStored}. */
     void storeImages(int page, List<Machine> machines);
 
+    /** Something happened to a job's tasks; the counts of the job hold it already. */
+    default void happened(Job job, Happening what) { }
+
     /** Rents machines; outcome: {@link Cluster#onRented}. */
     void rent(Rental rental);
 
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -135,6 +135,7 @@
                 job.team.held = job.team.held.plus(need);
             }
         }
+        cluster.effects.happened(job, new Happening.Held((int) pieces.stream().filter(p -> p.job == job).map(p -> p.machine).distinct().count()));
     }
 
     private void release(Job job) {
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -181,6 +181,16 @@
         return heldFor != null && heldFor != job && now < heldUntil;
     }
 
+    /** What a report lists, where it is known here; null: it is not. */
+    Placement find(TaskReport t) {
+        for (Placement p : placements) {
+            if (p.is(t)) {
+                return p;
+            }
+        }
+        return null;
+    }
+
     Job heldFor() {
         return heldFor;
     }
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -107,6 +107,7 @@
                 }
             }
         }
+        cluster.effects.happened(job, new Happening.Held(plan.pieces.size()));
         return true;
     }
 
--- /dev/null
+++ b/src/test/java/io/kelphoist/events/EventsTest.java
@@ -0,0 +1,203 @@
+package io.kelphoist.events;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableSortedSet;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.Owner;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Whatever is dropped, late, restarted or read slowly: each job in order, one end, and that is what is stored. */
+class EventsTest {
+    @Property(tries = 6000, seed = "20261201")
+    void whatAClientSeesIsAValidRun(@ForAll @Size(min = 10, max = 160) List<@IntRange(min = 0, max = 4607) Integer> story) {
+        EventsWorld world = new EventsWorld();
+        story.forEach(world::step);
+        world.settle();
+    }
+
+    /** The property above would hold as well if nobody was told of anything. */
+    @Test
+    void aStoryIsTold() {
+        EventsWorld world = new EventsWorld();
+        for (int step : new int[] {11, 27, 43, 59, 0, 16, 0, 8, 24, 40, 5, 10, 12 + 64, 2, 8, 2 + 48, 8, 12 + 64}) {
+            world.step(step);
+        }
+        world.settle();
+        assertTrue(world.told() >= 10, "told " + world.told());
+    }
+
+    // ---- cursors ----
+
+    private static final Filter ONE = new Filter.Jobs(ImmutableSortedSet.of("job-1"));
+    private static final Cursor CURSOR = new Cursor(ONE.fingerprint(), 5, new Position(77, "job-1"));
+
+    private static CursorSeal seal(int... ids) {
+        return new CursorSeal(Arrays.stream(ids).mapToObj(id -> new CursorSeal.Key(id, new byte[] {(byte) id, 2, 3, 4})).toList());
+    }
+
+    @Test
+    void aCursorComesBackAsItWas() throws CursorSeal.Refused {
+        assertEquals(CURSOR, seal(1).open(seal(1).seal(CURSOR), ONE));
+        assertTrue(seal(1).seal(CURSOR).length < 64);
+    }
+
+    @Test
+    void keysCanBeChangedWhileCursorsAreAbout() throws CursorSeal.Refused {
+        assertEquals(CURSOR, seal(2, 1).open(seal(1).seal(CURSOR), ONE));
+        byte[] old = seal(1).seal(CURSOR);
+        assertThrows(CursorSeal.Refused.class, () -> seal(3, 2).open(old, ONE));
+    }
+
+    @Test
+    void whatIsDamagedOrMadeUpIsRefused() {
+        byte[] good = seal(1).seal(CURSOR);
+        for (int i = 0; i < good.length; i++) {
+            byte[] bad = good.clone();
+            bad[i] ^= 1;
+            assertThrows(CursorSeal.Refused.class, () -> seal(1).open(bad, ONE), "byte " + i);
+            byte[] cut = Arrays.copyOf(good, i);
+            assertThrows(CursorSeal.Refused.class, () -> seal(1).open(cut, ONE), "cut at " + i);
+        }
+        assertThrows(CursorSeal.Refused.class, () -> seal(1).open(good, new Filter.Jobs(ImmutableSortedSet.of("job-2"))));
+        assertThrows(CursorSeal.Refused.class, () -> seal(1).open(good, new Filter.Owned(null, null)));
+        assertThrows(CursorSeal.Refused.class, () -> seal(1).open(new byte[300], ONE));
+    }
+
+    // ---- bounds ----
+
+    private static JobRecord record(int job, JobStatus status, long version) {
+        return new JobRecord("job-" + job, null, status, 0, version, new Owner("red", "c"));
+    }
+
+    /** Takes so many events, and remembers how it ended. */
+    private static final class Slow implements Reader {
+        private int takes;
+        private final List<JobEvent> events = new ArrayList<>();
+        private Ending ending;
+        private Cursor last;
+
+        @Override
+        public boolean ready() {
+            return takes > 0;
+        }
+
+        @Override
+        public void event(JobEvent event, Cursor cursor) {
+            takes--;
+            events.add(event);
+            last = cursor;
+        }
+
+        @Override
+        public void current(boolean current, Cursor cursor) { }
+
+        @Override
+        public void ended(Ending why, Cursor cursor) {
+            ending = why;
+            last = cursor;
+        }
+    }
+
+    private static Hub hub(Limits limits) {
+        return new Hub(limits, handler -> { }, Runnable::run);
+    }
+
+    @Test
+    void aSlowReaderGetsTheLatestOfEachJobAndStopsNobody() throws Hub.TooMany {
+        Hub hub = hub(new Limits(10, 10, 8, 10, 60));
+        hub.stored(1, List.of(record(1, JobStatus.ACTIVE, 1)), 0);
+        Slow slow = new Slow();
+        Slow quick = new Slow();
+        slow.takes = 1;
+        quick.takes = Integer.MAX_VALUE;
+        Subscription s = hub.open(new Filter.Owned(null, null), null, List.of(), "a", slow, 0);
+        hub.open(new Filter.Owned(null, null), null, List.of(), "b", quick, 0);
+        for (int i = 0; i < 100; i++) {
+            hub.told(List.of(new Soft("job-1", new What.Started(i, "m"), i, 1, 0)), 0);
+        }
+        assertEquals(101, quick.events.size());
+        assertEquals(1, slow.events.size());
+        slow.takes = 100;
+        hub.ready(s, 1);
+        assertTrue(slow.events.size() <= 10, () -> "" + slow.events);
+        assertEquals(new What.Started(99, "m"), slow.events.get(slow.events.size() - 1).what());
+        assertTrue(slow.events.stream().anyMatch(JobEvent::present));
+    }
+
+    @Test
+    void whoReadsNothingIsEndedWithACursorAndGoesOn() throws Hub.TooMany {
+        Hub hub = hub(new Limits(10, 10, 8, 10, 60));
+        hub.stored(1, List.of(record(1, JobStatus.ACTIVE, 1)), 0);
+        Slow slow = new Slow();
+        hub.open(ONE, null, List.of(), "a", slow, 0);
+        hub.stored(2, List.of(record(1, JobStatus.DONE, 2)), 5);
+        hub.tick(60);
+        assertEquals(null, slow.ending);
+        hub.tick(61);
+        assertEquals(Reader.Ending.SLOW, slow.ending);
+        assertEquals(0, hub.streams());
+        Slow again = new Slow();
+        again.takes = 9;
+        hub.open(ONE, slow.last, List.of(record(1, JobStatus.DONE, 2)), "a", again, 70);
+        assertEquals(List.of(new What.Done()), again.events.stream().map(JobEvent::what).toList());
+        assertEquals(Reader.Ending.COMPLETE, again.ending);
+        // Twice: it was told already.
+        Slow third = new Slow();
+        third.takes = 9;
+        hub.open(ONE, again.last, List.of(), "a", third, 70);
+        assertEquals(List.of(), third.events);
+        assertEquals(Reader.Ending.COMPLETE, third.ending);
+    }
+
+    @Test
+    void thereIsAMostOfStreamsAndOfOneClients() throws Hub.TooMany {
+        Hub hub = hub(new Limits(3, 2, 8, 10, 60));
+        hub.open(ONE, null, List.of(), "a", new Slow(), 0);
+        Subscription s = hub.open(ONE, null, List.of(), "a", new Slow(), 0);
+        assertEquals(Hub.Full.STREAMS_OF_CLIENT, assertThrows(Hub.TooMany.class, () -> hub.open(ONE, null, List.of(), "a", new Slow(), 0)).why());
+        hub.open(ONE, null, List.of(), "b", new Slow(), 0);
+        assertEquals(Hub.Full.STREAMS, assertThrows(Hub.TooMany.class, () -> hub.open(ONE, null, List.of(), "c", new Slow(), 0)).why());
+        hub.closed(s);
+        hub.open(ONE, null, List.of(), "a", new Slow(), 0);
+    }
+
+    @Test
+    void aCursorFromTheFutureIsNotWaitedForForEver() throws Hub.TooMany {
+        Hub hub = hub(Limits.DEFAULT);
+        hub.stored(1, List.of(), 0);
+        Slow reader = new Slow();
+        reader.takes = 9;
+        hub.open(ONE, new Cursor(ONE.fingerprint(), 0, new Position(1000, "job-1")), List.of(), "a", reader, 0);
+        for (int i = 2; i < 10; i++) {
+            hub.stored(i, List.of(), i);
+        }
+        assertEquals(Reader.Ending.AHEAD, reader.ending);
+    }
+
+    @Test
+    void aStoppingControllerHandsOutCursors() throws Hub.TooMany {
+        Hub hub = hub(Limits.DEFAULT);
+        hub.stored(7, List.of(record(1, JobStatus.ACTIVE, 6)), 0);
+        Slow reader = new Slow();
+        reader.takes = 9;
+        hub.open(new Filter.Owned(null, null), null, List.of(), "a", reader, 0);
+        hub.drain();
+        assertEquals(Reader.Ending.DRAINED, reader.ending);
+        assertEquals(7, reader.last.since());
+        assertThrows(Hub.TooMany.class, () -> hub.open(ONE, null, List.of(), "a", new Slow(), 0));
+        byte[] sealed = seal(1).seal(reader.last);
+        assertArrayEquals(sealed, seal(1).seal(reader.last));
+    }
+}
