A machine answered while the records are read counts from when all is read

Cause: a new leader answers reports while it still reads jobs and starts, so that no lease runs out, but takes nothing of them in. A machine whose record was read early and that fell silent after such an answer was counted as lost a lease after its record was read, which at 4,000 machines is seconds before its own lease was over: its tasks could run twice. Change: when all is read, every machine counts as answered until that moment.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -4,7 +4,6 @@
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -97,6 +96,10 @@
         return machines.values();
     }
 
+    public long term() {
+        return term;
+    }
+
     /** True once somebody was seen to hold a higher term. */
     public boolean deposed() {
         return deposed;
@@ -220,10 +223,12 @@
 
     /**
      * All that was stored is read. Of the cancelled jobs only those matter whose tasks may still be somewhere: they
-     * count until they are gone.
+     * count until they are gone. Reports that came meanwhile were answered without being taken in, so each machine may
+     * have been answered until now.
      */
-    public void onLoaded() {
+    public void onLoaded(double now) {
         loading = false;
+        machines.values().forEach(m -> m.lastAnswer = Math.max(m.lastAnswer, now));
         jobs.values().removeIf(job -> job.state() == Job.State.CANCELLED && job.at.isEmpty());
     }
 
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -92,7 +92,7 @@
                             mandated.accept(key.substring(Keys.MANDATES.length()), Records.mandate(i.path("value")));
                         });
                         hints(into);
-                        into.onLoaded();
+                        into.onLoaded(loop.now());
                         loaded.run();
                         watchJobs(jobs.revision());
                     });
--- a/src/test/java/io/kelphoist/core/Measure.java
+++ b/src/test/java/io/kelphoist/core/Measure.java
@@ -129,7 +129,7 @@
         begin(2);
         jobs.forEach(j -> cluster.onJob(j, 0, now));
         pages.forEach((page, starts) -> starts.forEach(s -> cluster.onStartLoaded(page, s, now)));
-        cluster.onLoaded();
+        cluster.onLoaded(0);
         for (int i = 0; i < size; i++) {
             cluster.onReport(report("vm-" + i, i, 2), now);
         }
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -74,7 +74,7 @@
             case "cancelled-job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.CANCELLED, 0, ++version), 0, now);
             case "loaded" -> tasks(with.get("tasks")).forEach(task -> cluster.onStartLoaded((int) number(with, "page", 0),
                     new StartedTask(w[1], types.get(0).name(), with.getOrDefault("zone", zones.get(0)), with.containsKey("spot"), task), now));
-            case "all-loaded" -> cluster.onLoaded();
+            case "all-loaded" -> cluster.onLoaded(now);
             case "images-loaded" -> cluster.onImagesLoaded((int) number(with, "page", 0), new MachineImages(w[1],
                     List.of(with.get("images").split(",")).stream().map(i -> new MachineImages.Image(i, 1)).toList()));
             case "progress" -> {
