gRPC: submissions and job events at any controller, client library and commands

Need: the wish for gRPC event streams; the same admission as over the wire, streams that can be resumed, one end for each job. Change: service kelphoist.v1 (Submit, Cancel, Get, Watch, health, reflection), on by grpc in the operators' file; one thread for its sockets, one that owns the hub; the event loop hands over tasks and waits for nobody. Soft events come to the other controllers by /peer/events. Client library with retries and resume; commands submit, watch, get, cancel.

--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -4,12 +4,14 @@
 import io.kelphoist.admission.Admission;
 import io.kelphoist.api.UserApi;
 import io.kelphoist.cloud.CloudClient;
+import io.kelphoist.config.GrpcSettings;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.Command;
 import io.kelphoist.core.Effects;
 import io.kelphoist.core.Election;
+import io.kelphoist.core.Happening;
 import io.kelphoist.core.Job;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobSpec;
@@ -32,7 +34,7 @@
 import io.kelphoist.worker.WorkerCalls;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
-import java.util.ArrayList;
+import java.io.IOException;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -52,7 +54,6 @@
     private static final double SOON_S = 0.015;
     /** After a decision the loop is left to others for so many times as long. */
     private static final double DECISION_SHARE = 2;
-    private static final double TYPES_EVERY_S = 45;
     private static final double LOAD_EVERY_S = 5;
     private static final double NEWS_EVERY_S = 1.0;
     private static final int STATE_CONNECTIONS = 6;
@@ -67,27 +68,24 @@
     private final StateClient.Loop loop;
     private final StateClient state;
     private final Committer committer;
-    private final CloudClient cloud;
+    private final CloudSide cloud;
     private final WorkerCalls workers;
     private final PeerCalls peers;
     private final Leadership leadership;
     private final Admission admission;
     private final UserApi api;
+    /** Null: nothing is served over gRPC. */
+    private Following following;
 
-    private List<MachineType> types = List.of();
     private Cluster cluster;
     private Store store;
     private boolean loaded;
     private boolean tickSoon;
     private double nextDecision;
-    private double typesAt = Double.NEGATIVE_INFINITY;
-    private boolean typesAsked;
-    private double listAt;
-    private boolean listAsked;
     private double newsAt;
     private double ledSince;
     private double loadAt;
-    private Map<String, Admission.Counts> counts = new HashMap<>();
+    private final JobCounts counts = new JobCounts();
     private final Caretaking caretaking;
     private final WorkerConnections connections;
     private final Reports reports;
@@ -115,7 +113,8 @@
         state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, 4), loop,
                 settings.stateLimits().rps() * 0.45, this::garbage);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
-        cloud = new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage);
+        cloud = new CloudSide(new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage),
+                state, loop, settings.cloudLimits().rps(), () -> cluster, types -> ifStored(s -> s.types(types)), this::soon);
         SocketBudget sockets = new SocketBudget(settings.sockets());
         workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1), sockets.orderLines());
         connections = new WorkerConnections(sockets, settings.workers().leaseS());
@@ -130,17 +129,17 @@
         admission = new Admission(state, committer::submit, loop, System::currentTimeMillis, new Admission.Knowledge() {
             @Override
             public Collection<MachineType> types() {
-                return types;
+                return cloud.types();
             }
 
             @Override
             public Admission.Counts counts(String job) {
-                return Controller.this.counts.get(job);
+                return counts.of(job);
             }
         }, settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS());
         api = new UserApi(admission);
         beat();
-        readTypes();
+        cloud.readTypes();
     }
 
     private HttpCaller caller(String address, String type, int most) {
@@ -191,7 +190,7 @@
                 election.resign("a worker has seen a higher term", now);
                 return;
             }
-            askCloud(now);
+            cloud.ask(now);
             handOverIfCutOff(now);
             caretaking.provide(cluster, store.knownUntil(), now);
             caretaking.note(store, System.currentTimeMillis(), now);
@@ -212,72 +211,6 @@
         }
     }
 
-    // ---- types, list ----
-
-    private void readTypes() {
-        if (!types.isEmpty()) {
-            return;
-        }
-        state.get(Keys.TYPES, result -> {
-            if (result instanceof StateClient.Done d && d.status() == 200) {
-                try {
-                    if (types.isEmpty()) {
-                        types = Codec.types(d.body().path("value"));
-                    }
-                    return;
-                } catch (BadMessage e) {
-                    LOG.error("stored machine types: {}", e.getMessage());
-                }
-            }
-            loop.after(0.5, this::readTypes);
-        });
-    }
-
-    private void askCloud(double now) {
-        if (!listAsked && now >= listAt) {
-            listAsked = true;
-            Cluster asked = cluster;
-            cloud.list(list -> {
-                listAsked = false;
-                listAt = loop.now() + Math.max(2.0, 2 / settings.cloudLimits().rps());
-                if (list != null && cluster == asked) {
-                    cluster.onCloudList(list, loop.now());
-                    soon();
-                }
-            });
-        }
-        if (now >= typesAt + TYPES_EVERY_S) {
-            fetchTypes();
-        }
-    }
-
-    private void fetchTypes() {
-        if (typesAsked) {
-            return;
-        }
-        typesAsked = true;
-        cloud.types(list -> {
-            typesAsked = false;
-            if (list == null || list.isEmpty()) {
-                typesAt = loop.now() - TYPES_EVERY_S + 1.0;
-                return;
-            }
-            typesAt = loop.now();
-            boolean news = types.isEmpty() || !names(types).equals(names(list));
-            types = list;
-            if (cluster != null) {
-                cluster.setTypes(list);
-                if (news && store != null) {
-                    store.types(list);
-                }
-            }
-        });
-    }
-
-    private static List<String> names(List<MachineType> types) {
-        return types.stream().map(MachineType::name).toList();
-    }
-
     // ---- leadership ----
 
     @Override
@@ -285,6 +218,9 @@
         LOG.info("term {} begins here", term);
         ledSince = loop.now();
         loaded = false;
+        if (following != null) {
+            following.began(term);
+        }
         begin(term, termVersion);
     }
 
@@ -294,11 +230,11 @@
         if (election.state() != Election.State.LEADER || election.term() != term) {
             return;
         }
-        if (types.isEmpty()) {
+        if (cloud.types().isEmpty()) {
             state.get(Keys.TYPES, result -> {
                 boolean absent = result instanceof StateClient.Done d && d.status() == 404;
                 if (absent) {
-                    fetchTypes();
+                    cloud.fetchTypes();
                 }
                 loop.after(0.2, () -> begin(term, termVersion));
             });
@@ -306,13 +242,13 @@
         }
         store = new Store(state, committer, loop, System::currentTimeMillis, (int) (settings.stateLimits().valueKb() * 1024), termVersion,
                 () -> election.resign("the term has moved on", loop.now()), this::soon);
-        cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), term, types, loop.now());
+        cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), term, cloud.types(), loop.now());
         Cluster loading = cluster;
         Store reading = store;
         store.load(cluster, (peer, baseMs) -> caretaking.recorded(peer, baseMs, System.currentTimeMillis(), loop.now()), () -> {
             if (cluster == loading) {
                 loaded = true;
-                reading.types(types);
+                reading.types(cloud.types());
                 LOG.info("term {}: {} machines and {} jobs read after {} ms", term, loading.machines().size(), loading.jobs().size(),
                         Math.round((loop.now() - ledSince) * 1000));
                 soon();
@@ -330,6 +266,9 @@
         cluster = null;
         loaded = false;
         caretaking.ended();
+        if (following != null) {
+            following.ended();
+        }
     }
 
     @Override
@@ -339,9 +278,7 @@
         if (cluster != null && loaded && now >= newsAt) {
             // The next peer asked in the same round gets it too.
             loop.after(0.05, () -> newsAt = loop.now() + NEWS_EVERY_S);
-            counts = collect();
-            ObjectNode jobs = m.putObject("jobs");
-            counts.forEach((id, c) -> jobs.putArray(id).add(c.done()).add(c.running()));
+            counts.count(cluster, m);
         }
         return m;
     }
@@ -358,16 +295,6 @@
         caretaking.answered(peer, answer, sentAt, loop.now());
     }
 
-    private Map<String, Admission.Counts> collect() {
-        Map<String, Admission.Counts> all = new HashMap<>();
-        for (Job j : cluster.jobs()) {
-            if (j.doneCount() + j.runningCount() > 0 && all.size() < 1000) {
-                all.put(j.spec.id(), new Admission.Counts(j.doneCount(), j.runningCount()));
-            }
-        }
-        return all;
-    }
-
     /** A leader that no worker reaches, while there are some, lets another lead. */
     private void handOverIfCutOff(double now) {
         double quiet = 2.5 * settings.workers().reportS();
@@ -422,17 +349,42 @@
         leadership.heard(m);
         leadership.heardLeader(m.path("from").asText());
         boolean granted = m.path("term").isIntegralNumber() && leadership.election().grant(m.path("term").asLong(), loop.now());
-        if (m.has("jobs") && cluster == null) {
-            Map<String, Admission.Counts> news = new HashMap<>();
-            m.path("jobs").fields().forEachRemaining(e ->
-                    news.put(e.getKey(), new Admission.Counts(e.getValue().path(0).asInt(), e.getValue().path(1).asInt())));
-            counts = news;
+        if (cluster == null) {
+            counts.take(m);
         }
         ObjectNode answer = Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0);
         caretaking.asked(m, m.path("term").asLong(), answer, loop.now());
         HttpServing.json(exchange, 200, answer);
     }
 
+    /** What follows jobs for gRPC; made by whoever starts this controller, as that takes a while. */
+    Following follow(GrpcSettings grpc) throws IOException {
+        return new Following(grpc, settings, state, admission, loop, thread, peers, () -> leadership.election().leader());
+    }
+
+    /** It goes along from here on. */
+    void following(Following made) {
+        following = made;
+        following.begin();
+        if (cluster != null) {
+            following.began(cluster.term());
+        }
+    }
+
+    public void events(HttpServerExchange exchange, byte[] body) {
+        try {
+            ObjectNode request = Cbor.decodeJson(body);
+            HttpServing.json(exchange, 200, following == null ? Cbor.map() : following.answer(request));
+        } catch (BadMessage e) {
+            counters.badMessages++;
+            HttpServing.status(exchange, 400);
+        }
+    }
+
+    Following following() {
+        return following;
+    }
+
     // ---- users ----
 
     Admission admission() {
@@ -444,7 +396,7 @@
     }
 
     public boolean healthy() {
-        return !types.isEmpty() && !leadership.aloneWithoutState();
+        return !cloud.types().isEmpty() && !leadership.aloneWithoutState();
     }
 
     Cluster cluster() {
@@ -510,6 +462,13 @@
         }
     }
 
+    @Override
+    public void happened(Job job, Happening what) {
+        if (following != null && cluster != null) {
+            following.happened(job, what, cluster.recovered(), System.currentTimeMillis());
+        }
+    }
+
     @Override
     public void storeProgress(int page, List<TaskProgress> progress) {
         ifStored(s -> s.progress(page, progress));
@@ -542,28 +501,11 @@
 
     @Override
     public void rent(Rental rental) {
-        Cluster asking = cluster;
-        cloud.rent(rental, (names, refused) -> {
-            if (cluster == asking && asking != null) {
-                asking.onRented(rental, names, refused, loop.now());
-                soon();
-            }
-        });
+        cloud.rent(rental);
     }
 
     @Override
     public void giveBack(List<String> machines) {
-        Cluster asking = cluster;
-        List<String> names = new ArrayList<>(machines);
-        cloud.giveBack(names, ok -> {
-            if (cluster == asking && asking != null) {
-                if (ok) {
-                    asking.onReturned(names, loop.now());
-                } else {
-                    asking.onReturnFailed(loop.now());
-                }
-                soon();
-            }
-        });
+        cloud.giveBack(machines);
     }
 }
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -59,6 +59,10 @@
             }
         });
         Controller controller = made.join();
+        if (operator.grpc() != null) {
+            Following following = controller.follow(operator.grpc());
+            worker.getIoThread().execute(() -> controller.following(following));
+        }
         HostAndPort serve = HostAndPort.fromString(settings.serveOn());
         HostAndPort listen = HostAndPort.fromString(settings.peerListen());
         Daemon[] self = new Daemon[1];
@@ -124,13 +128,22 @@
         return exchange -> {
             switch (exchange.getRequestPath()) {
                 case "/peer/grant" -> HttpServing.withBody(exchange, PEER_BODY, controller::grant);
+                case "/peer/events" -> HttpServing.withBody(exchange, PEER_BODY, controller::events);
                 case "/peer/report" -> HttpServing.withBody(exchange, PEER_BODY, controller.reports()::relayed);
                 default -> HttpServing.status(exchange, 404);
             }
         };
     }
 
+    /** Where gRPC is served; 0: it is not. */
+    int grpcPort() {
+        return controller.following() == null ? 0 : controller.following().port();
+    }
+
     public void stop() {
+        if (controller.following() != null) {
+            controller.following().stop();
+        }
         server.stop();
         worker.shutdownNow();
     }
--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -1,11 +1,13 @@
 package io.kelphoist.daemon;
 
+import io.kelphoist.cli.Cli;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Model.OptionSpec;
@@ -20,11 +22,17 @@
     /** The program goes on after the command line was carried out. */
     private static final int GOES_ON = -1;
 
+    /** Users' commands; a controller never loads what is behind them. */
+    private static final Set<String> COMMANDS = Set.of("submit", "watch", "get", "cancel");
+
     private Main() { }
 
     public static void main(String[] args) {
         quicken();
         logging();
+        if (args.length > 0 && COMMANDS.contains(args[0])) {
+            System.exit(Cli.run(args, System.out, System.err));
+        }
         CommandLine line = new CommandLine(spec());
         line.setExecutionStrategy(Main::carryOut);
         int code = line.execute(args);
@@ -36,7 +44,7 @@
     private static CommandSpec spec() {
         CommandSpec spec = CommandSpec.create().name("kelphoist");
         spec.usageMessage().description("A controller of the kelphoist cluster scheduler.")
-                .footer("", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error")
+                .footer("", "Users' commands, over gRPC (each with --help): submit, watch, get, cancel", "", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error")
                 .sortOptions(false);
         String version = Main.class.getPackage().getImplementationVersion();
         spec.version("kelphoist " + (version == null ? "(development)" : version));
--- a/src/main/java/io/kelphoist/events/Hub.java
+++ b/src/main/java/io/kelphoist/events/Hub.java
@@ -6,7 +6,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
--- a/src/test/java/io/kelphoist/daemon/StateStandIn.java
+++ b/src/test/java/io/kelphoist/daemon/StateStandIn.java
@@ -27,6 +27,8 @@
     private long lastLease;
     private boolean down;
     private boolean closed;
+    private boolean cut;
+    private long forgotten;
     private int mostValueBytes = Integer.MAX_VALUE;
     private int mostOps = Integer.MAX_VALUE;
     private int refused;
@@ -67,6 +69,24 @@
     /** Something that no controller wrote. */
     synchronized void put(String key, JsonNode value) {
         items.put(key, new Item(value, ++revision, 0));
+        ObjectNode event = Cbor.map().put("put", key).put("entry", revision);
+        event.set("value", value);
+        events.add(new Event(key, event, revision));
+        notifyAll();
+    }
+
+    /** Nothing is answered any more, watches included, or all is again. */
+    synchronized void cut(boolean isCut) {
+        cut = isCut;
+        down(isCut);
+    }
+
+    /** What happens meanwhile is in no watch: whoever asks for older changes has to read anew. */
+    synchronized void forgetChanges(Runnable meanwhile) {
+        meanwhile.run();
+        events.clear();
+        forgotten = revision;
+        notifyAll();
     }
 
     /** The next transaction that puts below this prefix gets no useful answer and is kept. */
@@ -125,7 +145,7 @@
     @Override
     synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) throws InterruptedException {
         String path = exchange.getRequestPath();
-        if (down && !path.equals("/changes")) {
+        if (cut || down && !path.equals("/changes")) {
             return new Reply(503, Cbor.map());
         }
         expire();
@@ -235,6 +255,12 @@
     private Reply changes(String prefix, long after, long until) throws InterruptedException {
         while (true) {
             expire();
+            if (cut) {
+                return new Reply(503, Cbor.map());
+            }
+            if (after < forgotten) {
+                return new Reply(410, Cbor.map());
+            }
             ObjectNode m = Cbor.map().put("logbook", revision);
             ArrayNode list = m.putArray("events");
             for (Event e : events) {
