--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -5,6 +5,7 @@
 import io.kelphoist.config.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -30,6 +31,9 @@
     public static void main(String[] args) {
         quicken();
         logging();
+        if (args.length > 0 && args[0].equals("lab")) {
+            System.exit(LabCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out));
+        }
         if (args.length > 0 && COMMANDS.contains(args[0])) {
             System.exit(Cli.run(args, System.out, System.err));
         }
@@ -44,7 +48,7 @@
     private static CommandSpec spec() {
         CommandSpec spec = CommandSpec.create().name("kelphoist");
         spec.usageMessage().description("A controller of the kelphoist cluster scheduler.")
-                .footer("", "Users' commands, over gRPC (each with --help): submit, watch, get, cancel", "", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error")
+                .footer("", "Users' commands, over gRPC (each with --help): submit, watch, get, cancel", "To try things on this machine: lab", "", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error")
                 .sortOptions(false);
         String version = Main.class.getPackage().getImplementationVersion();
         spec.version("kelphoist " + (version == null ? "(development)" : version));
--- a/src/test/java/io/kelphoist/daemon/CloudStandIn.java
+++ b/src/main/java/io/kelphoist/lab/CloudStandIn.java
@@ -1,4 +1,4 @@
-package io.kelphoist.daemon;
+package io.kelphoist.lab;
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -12,7 +12,7 @@
 import java.util.function.BiFunction;
 
 /** The cloud: a rented machine is up at once. */
-final class CloudStandIn extends StandIn {
+public final class CloudStandIn extends StandIn {
     private static final String TYPES = """
             {"hulls":[{"label":"m","cpus":8,"accelerators":4,"ram_gb":64,"cache_gb":50,"pull_gb_per_s":1.0,"hourly":9.0,
              "spot_price":9.0,"startup_s":5,"beds":["z"]}]}""";
@@ -20,12 +20,12 @@
     private final TreeMap<String, WorkerStandIn> machines = new TreeMap<>();
     private final Map<String, ObjectNode> answered = new LinkedHashMap<>();
 
-    CloudStandIn(BiFunction<String, String, WorkerStandIn> boot) {
+    public CloudStandIn(BiFunction<String, String, WorkerStandIn> boot) {
         this.boot = boot;
     }
 
     @Override
-    synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) {
+    protected synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) {
         switch (exchange.getRequestPath()) {
             case "/flavors" -> {
                 try {
--- a/src/test/java/io/kelphoist/daemon/StandIn.java
+++ b/src/main/java/io/kelphoist/lab/StandIn.java
@@ -1,4 +1,4 @@
-package io.kelphoist.daemon;
+package io.kelphoist.lab;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.wire.BadMessage;
@@ -10,10 +10,10 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 
-/** An outside system on a loopback port, by its protocol. Handlers may block. */
-abstract class StandIn implements AutoCloseable {
+/** An outside system on a loopback port, by its published protocol, for trying and testing. Handlers may block. */
+public abstract class StandIn implements AutoCloseable {
     /** What to answer. */
-    record Reply(int status, ObjectNode body) { }
+    public record Reply(int status, ObjectNode body) { }
 
     private final Undertow server;
 
@@ -22,7 +22,7 @@
         server.start();
     }
 
-    final String address() {
+    public final String address() {
         InetSocketAddress a = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
         return "127.0.0.1:" + a.getPort();
     }
@@ -39,7 +39,7 @@
         return values == null ? otherwise : values.getFirst();
     }
 
-    abstract Reply answer(HttpServerExchange exchange, ObjectNode body) throws InterruptedException;
+    protected abstract Reply answer(HttpServerExchange exchange, ObjectNode body) throws InterruptedException;
 
     @Override
     public void close() {
--- a/src/test/java/io/kelphoist/daemon/StateStandIn.java
+++ b/src/main/java/io/kelphoist/lab/StateStandIn.java
@@ -1,4 +1,4 @@
-package io.kelphoist.daemon;
+package io.kelphoist.lab;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -13,7 +13,7 @@
 import java.util.function.Predicate;
 
 /** The state service. Its lock's monitor is notified of every change, so that tests can wait for one. */
-final class StateStandIn extends StandIn {
+public final class StateStandIn extends StandIn {
     private record Item(JsonNode value, long version, long lease) { }
 
     private record Lease(long ttlMs, long endsAt) { }
@@ -35,7 +35,7 @@
     private String holdPrefix;
     private ObjectNode held;
 
-    synchronized void down(boolean isDown) {
+    public synchronized void down(boolean isDown) {
         down = isDown;
         if (!isDown) {
             leases.replaceAll((id, l) -> new Lease(l.ttlMs, nowMs() + l.ttlMs));
@@ -44,7 +44,7 @@
     }
 
     /** Waits for a key to have such a value; the test's own time limit ends a wait in vain. */
-    synchronized JsonNode await(String key, Predicate<JsonNode> wanted) throws InterruptedException {
+    public synchronized JsonNode await(String key, Predicate<JsonNode> wanted) throws InterruptedException {
         while (true) {
             expire();
             Item item = items.get(key);
@@ -56,18 +56,18 @@
     }
 
     /** From now on larger values and transactions are refused. */
-    synchronized void limits(int valueBytes, int ops) {
+    public synchronized void limits(int valueBytes, int ops) {
         mostValueBytes = valueBytes;
         mostOps = ops;
     }
 
     /** How many were. */
-    synchronized int refused() {
+    public synchronized int refused() {
         return refused;
     }
 
     /** Something that no controller wrote. */
-    synchronized void put(String key, JsonNode value) {
+    public synchronized void put(String key, JsonNode value) {
         items.put(key, new Item(value, ++revision, 0));
         ObjectNode event = Cbor.map().put("put", key).put("entry", revision);
         event.set("value", value);
@@ -76,13 +76,13 @@
     }
 
     /** Nothing is answered any more, watches included, or all is again. */
-    synchronized void cut(boolean isCut) {
+    public synchronized void cut(boolean isCut) {
         cut = isCut;
         down(isCut);
     }
 
     /** What happens meanwhile is in no watch: whoever asks for older changes has to read anew. */
-    synchronized void forgetChanges(Runnable meanwhile) {
+    public synchronized void forgetChanges(Runnable meanwhile) {
         meanwhile.run();
         events.clear();
         forgotten = revision;
@@ -90,12 +90,12 @@
     }
 
     /** The next transaction that puts below this prefix gets no useful answer and is kept. */
-    synchronized void holdNext(String prefix) {
+    public synchronized void holdNext(String prefix) {
         holdPrefix = prefix;
     }
 
     /** Applies the kept transaction late; returns its status. */
-    synchronized int applyHeld() throws InterruptedException {
+    public synchronized int applyHeld() throws InterruptedException {
         while (held == null) {
             wait();
         }
@@ -143,7 +143,7 @@
     }
 
     @Override
-    synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) throws InterruptedException {
+    protected synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) throws InterruptedException {
         String path = exchange.getRequestPath();
         if (cut || down && !path.equals("/changes")) {
             return new Reply(503, Cbor.map());
--- a/src/test/java/io/kelphoist/daemon/WorkerStandIn.java
+++ b/src/main/java/io/kelphoist/lab/WorkerStandIn.java
@@ -1,4 +1,4 @@
-package io.kelphoist.daemon;
+package io.kelphoist.lab;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -18,15 +18,15 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** A machine's worker: array tasks are done at once, services run until they are stopped. */
-final class WorkerStandIn extends StandIn {
+/** A machine's worker: tasks are done after a while, those of jobs named job-9... run until they are stopped. */
+public final class WorkerStandIn extends StandIn {
     /** What happens to tasks, over all workers; its monitor is notified. */
-    static final class Ledger {
+    public static final class Ledger {
         private final Map<String, String> runningOn = new LinkedHashMap<>();
         private final Map<String, Integer> starts = new LinkedHashMap<>();
         private String broken;
 
-        synchronized void started(String task, String machine, boolean runs) {
+        public synchronized void started(String task, String machine, boolean runs) {
             String other = runs ? runningOn.put(task, machine) : runningOn.get(task);
             if (other != null && !other.equals(machine)) {
                 broken = task + " is on " + other + " and " + machine;
@@ -35,22 +35,22 @@
             notifyAll();
         }
 
-        synchronized void ended(String task) {
+        public synchronized void ended(String task) {
             runningOn.remove(task);
             notifyAll();
         }
 
-        synchronized void awaitRunning(String task, boolean running) throws InterruptedException {
+        public synchronized void awaitRunning(String task, boolean running) throws InterruptedException {
             while (runningOn.containsKey(task) != running) {
                 wait();
             }
         }
 
-        synchronized String broken() {
+        public synchronized String broken() {
             return broken;
         }
 
-        synchronized int starts(String task) {
+        public synchronized int starts(String task) {
             return starts.getOrDefault(task, 0);
         }
     }
@@ -59,6 +59,8 @@
         final String state;
         final String exit;
 
+        final long startedMs = now();
+
         Task(String state, String exit) {
             this.state = state;
             this.exit = exit;
@@ -71,19 +73,32 @@
     private final Ledger ledger;
     private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofMillis(300)).build();
     private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final long taskMs;
     private int at;
     private long seq;
     private long token;
 
-    WorkerStandIn(String name, String zone, List<String> controllers, Ledger ledger, ScheduledExecutorService timers, long everyMs) {
+    public WorkerStandIn(String name, String zone, List<String> controllers, Ledger ledger, ScheduledExecutorService timers, long everyMs,
+                         long taskMs) {
         this.name = name;
+        this.taskMs = taskMs;
         this.zone = zone;
         this.controllers = controllers;
         this.ledger = ledger;
         timers.scheduleWithFixedDelay(this::report, 0, everyMs, TimeUnit.MILLISECONDS);
     }
 
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    /** Nobody tells a worker of what kind a job is; here its name does. */
+    private static boolean endless(String task) {
+        return task.startsWith("job-9");
+    }
+
     private synchronized ObjectNode describe() {
+        tasks.replaceAll((id, t) -> t.exit == null && !endless(id) && now() - t.startedMs >= taskMs ? new Task("exited", "done") : t);
         ObjectNode m = Cbor.map().put("buoy", name).put("address", address()).put("hull", "m").put("bed", zone).put("driftwood", false)
                 .put("watch", 1).put("knot", ++seq).put("helm", token);
         ArrayNode list = m.putArray("fronds");
@@ -125,9 +140,9 @@
             switch (c.path("call").asText()) {
                 case "start" -> {
                     if (!tasks.containsKey(id)) {
-                        boolean service = task.startsWith("job-9");
+                        boolean service = endless(task);
                         ledger.started(task, name, service);
-                        tasks.put(id, service ? new Task("running", null) : new Task("exited", "done"));
+                        tasks.put(id, service || taskMs > 0 ? new Task("running", null) : new Task("exited", "done"));
                     }
                 }
                 case "halt" -> {
@@ -147,7 +162,7 @@
     }
 
     @Override
-    synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) {
+    protected synchronized Reply answer(HttpServerExchange exchange, ObjectNode body) {
         boolean done = exchange.getRequestPath().equals("/inspect") || body.path("watch").asLong() == 1 && obey(body);
         return new Reply(done ? 200 : 409, describe());
     }
--- a/src/test/java/io/kelphoist/daemon/OnSite.java
+++ b/src/test/java/io/kelphoist/daemon/OnSite.java
@@ -5,22 +5,20 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
+import io.kelphoist.lab.Site;
+import io.kelphoist.lab.StateStandIn;
+import io.kelphoist.lab.WorkerStandIn;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -32,31 +30,20 @@
     @TempDir
     Path dir;
     final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4);
-    final WorkerStandIn.Ledger ledger = new WorkerStandIn.Ledger();
     final List<Daemon> daemons = new ArrayList<>();
-    final List<String> serving = new ArrayList<>();
-    final List<Settings> settings = new ArrayList<>();
+    private Site site;
     StateStandIn state;
-    CloudStandIn cloud;
+    WorkerStandIn.Ledger ledger;
+    List<String> serving;
+    List<Settings> settings;
 
     @BeforeEach
     void start() throws IOException, Settings.Invalid {
-        state = new StateStandIn();
-        cloud = new CloudStandIn((name, zone) -> new WorkerStandIn(name, zone, serving, ledger, timers, 150));
-        String[] names = {"a", "b"};
-        String[] peers = {free(), free()};
-        serving.addAll(List.of(free(), free()));
-        for (int i = 0; i < 2; i++) {
-            Path file = Files.writeString(dir.resolve(names[i]), """
-                    {"label":"%s","site":"z","serve_on":"%s","peer_listen":"%s","known":[{"label":"%s","site":"z","peer_addr":"%s"}],
-                     "external":{"cloud":"%s","state":"%s"},
-                     "cluster":{"zones":["z"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":4,"gpus_max":8}],
-                     "workers":{"report_s":0.2,"lease_s":6,"gang_wait_s":9,"gang_peer_s":2,"cancel_s":40},
-                     "state":{"rps":1000,"write_rps":500,"value_kb":4,"txn_ops":8},"cloud":{"rps":20,"list_lag_s":1}}}"""
-                    .formatted(names[i], serving.get(i), peers[i], names[1 - i], peers[1 - i], cloud.address(), state.address()));
-            settings.add(Settings.read(file));
-        }
+        site = new Site(dir, 2, 0);
+        state = site.state();
+        ledger = site.ledger();
+        serving = site.serving();
+        settings = site.settings();
         startAll();
     }
 
@@ -74,15 +61,7 @@
     @AfterEach
     void stop() {
         daemons.forEach(Daemon::stop);
-        timers.shutdownNow();
-        cloud.close();
-        state.close();
-    }
-
-    static String free() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + s.getLocalPort();
-        }
+        site.close();
     }
 
     HttpResponse<byte[]> call(String node, String method, String path, byte[] body) throws IOException, InterruptedException {
