--- a/src/main/java/io/kelphoist/admission/Admission.java
+++ b/src/main/java/io/kelphoist/admission/Admission.java
@@ -50,6 +50,12 @@
         void submit(Committer.Write write);
     }
 
+    /** Told of submissions. */
+    public interface Submissions {
+        /** Who is to be answered in place of the asker, and answers him. */
+        Consumer<Answer> submitted(JobSpec job, Consumer<Answer> asker);
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(Admission.class);
     private static final double ACCEPT_S = 3.0;
     private static final int RETRY_S = 1;
@@ -58,6 +64,7 @@
     private static final double RECENT = 0.25;
     /** Kept free in a value, for what a job's end adds to it. */
     private static final int SPARE_BYTES = 256;
+    private Submissions submissions = (job, asker) -> asker;
     private final JobLookup lookup;
     private final Writes committer;
     private final StateClient.Loop loop;
@@ -80,6 +87,10 @@
         this.mostValueBytes = (int) (valueKb * 1024) - SPARE_BYTES;
     }
 
+    public void watch(Submissions by) {
+        submissions = by;
+    }
+
     /** How often a request was put off for this cause. */
     public synchronized long putOff(Answer.PutOff why) {
         return putOff.getOrDefault(why, 0L);
@@ -95,7 +106,8 @@
 
     // ---- submit ----
 
-    public void submit(JobSpec job, Consumer<Answer> asker) {
+    public void submit(JobSpec job, Consumer<Answer> from) {
+        Consumer<Answer> asker = submissions.submitted(job, from);
         if (knowledge.types().isEmpty()) {
             later(job.id(), Answer.PutOff.TYPES_UNKNOWN, asker);
             return;
--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -12,15 +12,16 @@
  * The operators' own settings: protobuf text format, all optional.
  *
  * @param grpc null: not served
+ * @param traceTo a collector of OTLP over HTTP, or empty: the log; null: no traces
  */
 public record OperatorSettings(int leaderLeaseMs, int grantMs, double offerS, double localityWaitS, double machineHoldS,
-                               double gangHoldS, double headroom, double idleS, boolean caretaking, GrpcSettings grpc) {
+                               double gangHoldS, double headroom, double idleS, boolean caretaking, GrpcSettings grpc, String traceTo) {
     /** Kept free in each value at the state service. */
     private static final int SPARE_BYTES = 128;
     /** Shares of the state service's limit of changes: for starts, which wait for them, and for done tasks. */
     private static final double STARTS_SHARE = 1 / 3.0;
     private static final double PROGRESS_SHARE = 1 / 15.0;
-    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40, false, null);
+    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40, false, null, null);
 
     /** Parts that can be switched on without a file, since reading one takes a third of the time to start. */
     public static final List<String> PARTS = List.of("caretaking");
@@ -33,7 +34,7 @@
             }
         }
         return new OperatorSettings(leaderLeaseMs, grantMs, offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
-                caretaking || parts.contains("caretaking"), grpc);
+                caretaking || parts.contains("caretaking"), grpc, traceTo);
     }
 
     /** Unknown fields are ignored; wrong ones are named. */
@@ -53,7 +54,14 @@
                 range(f, "offer_s", o.getOfferS(), 0.1, 600), range(f, "locality_wait_s", o.getLocalityWaitS(), 1, 5),
                 range(f, "machine_hold_s", o.getMachineHoldS(), 0, 600), range(f, "gang_hold_s", o.getGangHoldS(), 0, 600),
                 range(f, "headroom", o.getHeadroom(), 0, 10), range(f, "idle_s", o.getIdleS(), 0, 3600), o.getCaretaking(),
-                o.hasGrpc() ? GrpcSettings.of(file, o.getGrpc()) : null);
+                o.hasGrpc() ? GrpcSettings.of(file, o.getGrpc()) : null, o.hasTrace() ? collector(f, o.getTrace().getOtlp()) : null);
+    }
+
+    private static String collector(String file, String otlp) throws Settings.Invalid {
+        if (!otlp.isEmpty() && !otlp.matches("https?://[^/\\s]+(/\\S*)?")) {
+            throw new Settings.Invalid(file, "trace.otlp", "'" + otlp + "' is not an http address");
+        }
+        return otlp;
     }
 
     static double range(String file, String field, double v, double least, double most) throws Settings.Invalid {
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -178,9 +178,11 @@
                 stop(p, 0, now);
             }
             settleFinal(job);
+            effects.happened(job, new Happening.Over(false));
         } else if (record.status() == JobStatus.DONE && job.to(Job.State.DONE)) {
             LOG.info("job {} done after {} s", job.spec.id(), Math.round(now - job.acceptedAt));
             settleFinal(job);
+            effects.happened(job, new Happening.Over(true));
         }
     }
 
--- a/src/main/java/io/kelphoist/core/Happening.java
+++ b/src/main/java/io/kelphoist/core/Happening.java
@@ -16,6 +16,9 @@
     /** One more task is done. */
     record Progressed(int task, String machine) implements Happening { }
 
+    /** Its end is stored: done, or cancelled. */
+    record Over(boolean done) implements Happening { }
+
     /** Why a task stopped. */
     enum Cause {
         /** The leader wanted it stopped: for more urgent work, a better place, or a cancellation. */
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -84,6 +84,11 @@
         pending.set(0, spec.tasks());
     }
 
+    /** As it was accepted. */
+    public JobRecord record() {
+        return record;
+    }
+
     public State state() {
         return state;
     }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -45,6 +45,7 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.MDC;
 import org.xnio.XnioIoThread;
 
 /** One controller: the event loop's side of everything. All of it runs on one I/O thread. */
@@ -76,6 +77,8 @@
     private final UserApi api;
     /** Null: nothing is served over gRPC. */
     private Following following;
+    /** Null: jobs are not traced. */
+    private Tracing tracing;
 
     private Cluster cluster;
     private Store store;
@@ -215,12 +218,16 @@
 
     @Override
     public void began(long term, long termVersion) {
+        MDC.put("term", Long.toString(term));
         LOG.info("term {} begins here", term);
         ledSince = loop.now();
         loaded = false;
         if (following != null) {
             following.began(term);
         }
+        if (tracing != null) {
+            tracing.began(term);
+        }
         begin(term, termVersion);
     }
 
@@ -259,6 +266,7 @@
     @Override
     public void ended() {
         LOG.info("the term ends here");
+        MDC.remove("term");
         if (store != null) {
             store.close();
         }
@@ -269,6 +277,9 @@
         if (following != null) {
             following.ended();
         }
+        if (tracing != null) {
+            tracing.ended();
+        }
     }
 
     @Override
@@ -357,6 +368,16 @@
         HttpServing.json(exchange, 200, answer);
     }
 
+    /** Traces jobs from here on. */
+    void trace(Tracing by) {
+        tracing = by;
+        admission.watch(by::submitted);
+    }
+
+    Tracing tracing() {
+        return tracing;
+    }
+
     /** What follows jobs for gRPC; made by whoever starts this controller, as that takes a while. */
     Following follow(GrpcSettings grpc) throws IOException {
         return new Following(grpc, settings, state, admission, loop, thread, peers, () -> leadership.election().leader());
@@ -464,6 +485,9 @@
 
     @Override
     public void happened(Job job, Happening what) {
+        if (tracing != null) {
+            tracing.happened(job, what);
+        }
         if (following != null && cluster != null) {
             following.happened(job, what, cluster.recovered(), System.currentTimeMillis());
         }
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -4,6 +4,8 @@
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
 import io.kelphoist.sockets.SocketBudget;
+import io.kelphoist.trace.Exporters;
+import io.kelphoist.trace.JobTraces;
 import io.kelphoist.wire.Codec;
 import io.kelphoist.wire.HttpServing;
 import io.undertow.Undertow;
@@ -59,6 +61,10 @@
             }
         });
         Controller controller = made.join();
+        if (operator.traceTo() != null) {
+            Tracing tracing = new Tracing(new JobTraces(settings.node(), Exporters.to(operator.traceTo())), System::currentTimeMillis);
+            worker.getIoThread().execute(() -> controller.trace(tracing));
+        }
         if (operator.grpc() != null) {
             Following following = controller.follow(operator.grpc());
             worker.getIoThread().execute(() -> controller.following(following));
@@ -145,6 +151,9 @@
             controller.following().stop();
         }
         server.stop();
+        if (controller.tracing() != null) {
+            controller.tracing().close();
+        }
         worker.shutdownNow();
     }
 }
--- a/src/main/java/io/kelphoist/daemon/Following.java
+++ b/src/main/java/io/kelphoist/daemon/Following.java
@@ -172,7 +172,6 @@
                         record(e.path("put").asText(), e.path("value"), e.path("entry").asLong(), changes);
                     }
                 }
-                changes.stream().filter(c -> c.status().isFinal()).forEach(c -> over(c.id()));
                 long revision = Math.max(after, d.body().path("logbook").asLong(after));
                 tell(hub -> {
                     hub.stored(revision, changes, now());
@@ -225,13 +224,6 @@
         tell(hub -> hub.told(news, now()));
     }
 
-    /** Its end is stored. */
-    private void over(String job) {
-        if (stories != null) {
-            stories.ended(job);
-        }
-    }
-
     /** Another controller asks for what is new. */
     ObjectNode answer(JsonNode request) {
         if (stories == null) {
--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -48,7 +48,8 @@
     private static CommandSpec spec() {
         CommandSpec spec = CommandSpec.create().name("kelphoist");
         spec.usageMessage().description("A controller of the kelphoist cluster scheduler.")
-                .footer("", "Users' commands, over gRPC (each with --help): submit, watch, get, cancel", "To try things on this machine: lab", "", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error")
+                .footer("", "Users' commands, over gRPC (each with --help): submit, watch, get, cancel", "To try things on this machine: lab", "", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error",
+                        "  LOG_FORMAT  json: a line of JSON each, with job, task, machine and term as fields")
                 .sortOptions(false);
         String version = Main.class.getPackage().getImplementationVersion();
         spec.version("kelphoist " + (version == null ? "(development)" : version));
@@ -82,6 +83,11 @@
     private static void logging() {
         String level = System.getenv("LOG_LEVEL");
         level = level == null ? "info" : level.toLowerCase(Locale.ROOT);
+        boolean json = "json".equalsIgnoreCase(System.getenv("LOG_FORMAT"));
+        // Named, so that nobody has to look for it: there are two.
+        System.setProperty("slf4j.provider", json ? "ch.qos.logback.classic.spi.LogbackServiceProvider" : "org.slf4j.simple.SimpleServiceProvider");
+        System.setProperty("slf4j.internal.verbosity", "WARN");
+        System.setProperty("kelphoist.log.level", level);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", switch (level) {
             case "error", "debug", "warn", "trace" -> level;
             default -> "info";
--- a/src/main/java/io/kelphoist/events/Stories.java
+++ b/src/main/java/io/kelphoist/events/Stories.java
@@ -35,6 +35,11 @@
 
     /** Null: it is not worth telling. */
     public Soft happened(String job, Happening what, int done, int running, long atMs) {
+        if (what instanceof Happening.Over) {
+            // Its end comes from what is stored.
+            stories.remove(job);
+            return null;
+        }
         Story story = stories.computeIfAbsent(job, j -> new Story());
         What told;
         if (what instanceof Happening.Running r) {
@@ -62,11 +67,6 @@
         return soft;
     }
 
-    /** It is over: nothing more is told of it here. */
-    public void ended(String job) {
-        stories.remove(job);
-    }
-
     public News since(long number) {
         long oldest = next - latest.size();
         if (number < oldest || number > next) {
--- a/src/test/java/io/kelphoist/daemon/GrpcTest.java
+++ b/src/test/java/io/kelphoist/daemon/GrpcTest.java
@@ -61,7 +61,7 @@
 
     @Override
     OperatorSettings operator() {
-        return new OperatorSettings(600, 500, 5, 1, 20, 15, 0.1, 40, true, SERVED);
+        return new OperatorSettings(600, 500, 5, 1, 20, 15, 0.1, 40, true, SERVED, null);
     }
 
     @AfterEach
--- a/src/test/java/io/kelphoist/events/EventsWorld.java
+++ b/src/test/java/io/kelphoist/events/EventsWorld.java
@@ -174,7 +174,7 @@
         JobRecord r = stored.get("job-" + job);
         if (r != null && !r.status().isFinal()) {
             write(List.of(new JobRecord(r.id(), null, how, 0, 0, r.owner())));
-            stories.ended(r.id());
+            stories.happened(r.id(), new Happening.Over(true), 0, 0, 0);
         }
     }
 
