--- a/src/main/java/io/kelphoist/grpc/GrpcDoor.java
+++ b/src/main/java/io/kelphoist/grpc/GrpcDoor.java
@@ -29,6 +29,9 @@
  */
 public final class GrpcDoor implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(GrpcDoor.class);
+    /** It warns of each client that goes away while something is on its way to him, with a page of stack. */
+    private static final java.util.logging.Logger TRANSPORT =
+            java.util.logging.Logger.getLogger("io.grpc.netty.shaded.io.grpc.netty.NettyServerHandler");
     private static final int MOST_MESSAGE = 64 * 1024;
     private static final int MOST_METADATA = 8 * 1024;
     private static final int STREAM_WINDOW = 64 * 1024;
@@ -45,6 +48,7 @@
 
     /** @param events the one thread that owns the hub, and by which the backend's answers come */
     public GrpcDoor(GrpcSettings settings, Set<String> teams, Backend backend, ScheduledExecutorService events) throws IOException {
+        TRANSPORT.setLevel(java.util.logging.Level.SEVERE);
         this.events = events;
         this.hub = new Hub(new Limits(settings.streams(), settings.streamsPerClient(), settings.buffered(), settings.keptEnded(), settings.stallS()),
                 backend::all, events);
--- a/src/main/java/io/kelphoist/grpc/SchedulerService.java
+++ b/src/main/java/io/kelphoist/grpc/SchedulerService.java
@@ -191,6 +191,9 @@
         private final String client;
         private Subscription subscription;
         private boolean over;
+        /** Many events in a row have the same cursor, and its MAC costs more than the rest of the message. */
+        private Cursor last;
+        private byte[] lastSealed;
 
         Stream(ServerCallStreamObserver<WatchResponse> to, String client) {
             this.to = to;
@@ -266,12 +269,20 @@
 
         @Override
         public void event(JobEvent event, Cursor cursor) {
-            to.onNext(Messages.event(event, seal.seal(cursor)));
+            to.onNext(Messages.event(event, sealed(cursor)));
         }
 
         @Override
         public void current(boolean current, Cursor cursor) {
-            to.onNext(Messages.current(current, seal.seal(cursor)));
+            to.onNext(Messages.current(current, sealed(cursor)));
+        }
+
+        private byte[] sealed(Cursor cursor) {
+            if (!cursor.equals(last)) {
+                last = cursor;
+                lastSealed = seal.seal(cursor);
+            }
+            return lastSealed;
         }
 
         @Override
@@ -282,7 +293,7 @@
                 return;
             }
             Metadata trailers = new Metadata();
-            trailers.put(Statuses.CURSOR, seal.seal(cursor));
+            trailers.put(Statuses.CURSOR, sealed(cursor));
             end((switch (why) {
                 case SLOW -> Status.RESOURCE_EXHAUSTED.withDescription("read too slowly; go on with the cursor");
                 case DRAINED -> Status.UNAVAILABLE.withDescription("this controller stops; go on elsewhere with the cursor");
