--- a/src/main/java/io/kelphoist/daemon/Following.java
+++ b/src/main/java/io/kelphoist/daemon/Following.java
@@ -58,7 +58,7 @@
     private final Supplier<String> leader;
     private final ScheduledExecutorService events;
     private final GrpcDoor door;
-    private boolean stopped;
+    private volatile boolean stopped;
     /** Null: this controller does not lead. */
     private Stories stories;
     private long term;
@@ -89,6 +89,11 @@
         ask();
     }
 
+    /** For the metrics; all else of it is the events' thread's. */
+    Hub hub() {
+        return door.hub();
+    }
+
     int port() {
         return door.port();
     }
--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -142,7 +142,11 @@
                     + settings.teams().size() + " teams; state service, now and next: " + settings.stateLimits());
             return 0;
         }
-        Daemon.start(settings, own, STARTED_AT);
+        Daemon daemon = Daemon.start(settings, own, STARTED_AT);
+        if (own.grpc() != null || own.traceTo() != null) {
+            // Streams end with a cursor to go on elsewhere, and spans that wait are sent.
+            Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "leave"));
+        }
         return GOES_ON;
     }
 }
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -33,6 +33,13 @@
             FunctionCounter.builder("kelphoist.requests.put.off", controller.admission(), a -> a.putOff(why))
                     .description("Users' requests that got 503, by cause").tag("cause", why.name().toLowerCase(Locale.ROOT)).register(registry);
         }
+        gauge("kelphoist.streams", "Streams of job events", x -> x.following() == null ? 0 : x.following().hub().streams());
+        FunctionCounter.builder("kelphoist.events", controller, x -> x.following() == null ? 0 : x.following().hub().told())
+                .description("Job events told").register(registry);
+        FunctionCounter.builder("kelphoist.events.present", controller, x -> x.following() == null ? 0 : x.following().hub().merged())
+                .description("Job events that told how a job stands, in place of others").register(registry);
+        FunctionCounter.builder("kelphoist.streams.slow", controller, x -> x.following() == null ? 0 : x.following().hub().slow())
+                .description("Streams that were ended as they read too slowly").register(registry);
         gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
         gauge("kelphoist.term", "Last term led here", x -> x.election().term());
         gauge("kelphoist.jobs", "Unfinished jobs, on the leader", x -> cluster(x, k -> k.jobs().size()));
--- a/src/main/java/io/kelphoist/events/Hub.java
+++ b/src/main/java/io/kelphoist/events/Hub.java
@@ -63,8 +63,11 @@
     private long known = -1;
     private boolean current = true;
     private boolean draining;
-    private long told;
-    private long merged;
+    /** Written by the owner, read by whoever measures. */
+    private volatile int streams;
+    private volatile long told;
+    private volatile long merged;
+    private volatile long slow;
 
     /** @param later runs what is handed to it soon, by the owner */
     public Hub(Limits limits, Source source, Executor later) {
@@ -75,7 +78,7 @@
     }
 
     public int streams() {
-        return all.size();
+        return streams;
     }
 
     /** Events told so far. */
@@ -83,11 +86,16 @@
         return told;
     }
 
-    /** Soft events that were replaced by later ones of their job for a slow reader. */
+    /** Events that told how a job stands, in place of others. */
     public long merged() {
         return merged;
     }
 
+    /** Streams that were ended as they read too slowly. */
+    public long slow() {
+        return slow;
+    }
+
     /** The revision up to which stored facts are known here; negative: nothing was read yet. */
     public long known() {
         return known;
@@ -207,6 +215,7 @@
         }
         Subscription s = new Subscription(filter, cursor, client, reader);
         all.add(s);
+        streams = all.size();
         perClient.merge(client, 1, Integer::sum);
         if (filter instanceof Filter.Jobs j) {
             for (String id : j.ids()) {
@@ -274,12 +283,16 @@
         Cursor cursor = s.cursor();
         if (s.to(Subscription.State.ENDED)) {
             forget(s);
+            if (why == Reader.Ending.SLOW) {
+                slow++;
+            }
             s.reader.ended(why, cursor);
         }
     }
 
     private void forget(Subscription s) {
         all.remove(s);
+        streams = all.size();
         broad.remove(s);
         perClient.computeIfPresent(s.client, (c, n) -> n == 1 ? null : n - 1);
         if (s.filter instanceof Filter.Jobs j) {
