Following: only so much of the leader's word waits for the events' thread

Need: queues are bounded; batches for a thread that can't keep up piled up without end. Change: 32 batches at the most; what is not told is replaced by how things stand once the thread has caught up.

--- a/src/main/java/io/kelphoist/daemon/Following.java
+++ b/src/main/java/io/kelphoist/daemon/Following.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -49,6 +50,8 @@
     private static final int ASK_TIMEOUT_MS = 1000;
     private static final double GATHER_S = 0.02;
     private static final int KEPT = 4096;
+    /** Batches of the leader's words that wait for the events' thread. */
+    private static final int MOST_WAITING = 32;
 
     private final StateClient state;
     private final Admission admission;
@@ -63,6 +66,8 @@
     private Stories stories;
     private long term;
     private List<Soft> gathered = new ArrayList<>();
+    private final AtomicInteger waiting = new AtomicInteger();
+    private boolean missed;
     private String asked;
     private long askedTerm;
     private long askedTo = -1;
@@ -226,7 +231,29 @@
     private void flush() {
         List<Soft> news = gathered;
         gathered = new ArrayList<>();
-        tell(hub -> hub.told(news, now()));
+        if (stories == null) {
+            return;
+        }
+        if (waiting.get() >= MOST_WAITING) {
+            // The events' thread can't keep up: what is not told now is replaced by how things stand once it can.
+            missed = true;
+            loop.after(GATHER_S * MOST_WAITING, this::flush);
+        } else if (missed) {
+            missed = false;
+            List<Soft> whole = stories.whole();
+            word(hub -> hub.present(whole, now()));
+        } else if (!news.isEmpty()) {
+            word(hub -> hub.told(news, now()));
+        }
+    }
+
+    /** The leader's word, of which only so much waits for the events' thread. */
+    private void word(Consumer<Hub> what) {
+        waiting.incrementAndGet();
+        tell(hub -> {
+            waiting.decrementAndGet();
+            what.accept(hub);
+        });
     }
 
     /** Another controller asks for what is new. */
@@ -255,10 +282,12 @@
                 Stories.News news = StoriesCodec.decode(answer.body());
                 askedTerm = answer.body().path("term").asLong();
                 askedTo = news.next();
-                if (news.whole()) {
-                    tell(hub -> hub.present(news.events(), now()));
+                if (waiting.get() >= MOST_WAITING) {
+                    askedTo = -1;
+                } else if (news.whole()) {
+                    word(hub -> hub.present(news.events(), now()));
                 } else if (!news.events().isEmpty()) {
-                    tell(hub -> hub.told(news.events(), now()));
+                    word(hub -> hub.told(news.events(), now()));
                 }
             }
             loop.after(ASK_S, this::ask);
