Tidy: one clock, one job for gRPC's tests, settings that serve gRPC, one command on a job

A second reading found the same written twice: Following had a clock beside the loop's; the lab and two tests copied all operators' settings to add gRPC's; three tests described the same job; get and cancel were one command but for the call; the stand-in of the state service made its events in two places; metrics of streams asked three times whether there are any. Each has one place now.

--- a/src/main/java/io/kelphoist/cli/Cli.java
+++ b/src/main/java/io/kelphoist/cli/Cli.java
@@ -225,35 +225,45 @@
         }
     }
 
-    @Command(name = "get", description = "Shows how a job stands.")
-    private static final class Get extends Base {
+    /** About one job, with how it stands as the answer. */
+    private abstract static class OneJob extends Base {
         @Parameters(paramLabel = "JOB", description = "The job.")
         private String job;
 
-        Get(PrintStream out) {
+        OneJob(PrintStream out) {
             super(out);
         }
 
         @Override
         int run(KelphoistClient client) throws IOException, InterruptedException {
-            show(client.get(job));
+            show(ask(client, job));
             return OK;
         }
+
+        abstract JobState ask(KelphoistClient client, String job) throws InterruptedException;
     }
 
-    @Command(name = "cancel", description = "Cancels a job. One that has ended stays as it is.")
-    private static final class Cancel extends Base {
-        @Parameters(paramLabel = "JOB", description = "The job.")
-        private String job;
+    @Command(name = "get", description = "Shows how a job stands.")
+    private static final class Get extends OneJob {
+        Get(PrintStream out) {
+            super(out);
+        }
+
+        @Override
+        JobState ask(KelphoistClient client, String job) throws InterruptedException {
+            return client.get(job);
+        }
+    }
 
+    @Command(name = "cancel", description = "Cancels a job. One that has ended stays as it is.")
+    private static final class Cancel extends OneJob {
         Cancel(PrintStream out) {
             super(out);
         }
 
         @Override
-        int run(KelphoistClient client) throws IOException, InterruptedException {
-            show(client.cancel(job));
-            return OK;
+        JobState ask(KelphoistClient client, String job) throws InterruptedException {
+            return client.cancel(job);
         }
     }
 }
--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -37,6 +37,12 @@
                 caretaking || parts.contains("caretaking"), grpc, traceTo);
     }
 
+    /** The same, serving gRPC. */
+    public OperatorSettings with(GrpcSettings served) {
+        return new OperatorSettings(leaderLeaseMs, grantMs, offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS, caretaking, served,
+                traceTo);
+    }
+
     /** Unknown fields are ignored; wrong ones are named. */
     public static OperatorSettings read(Path file) throws Settings.Invalid {
         Operator.Builder b = Operator.newBuilder();
--- a/src/main/java/io/kelphoist/daemon/Following.java
+++ b/src/main/java/io/kelphoist/daemon/Following.java
@@ -130,17 +130,13 @@
         }
     }
 
-    private static double now() {
-        return System.nanoTime() * 1e-9;
-    }
-
     // ---- what is stored ----
 
     private void read() {
         range(snapshot -> {
             tell(hub -> {
-                hub.snapshot(snapshot, now());
-                hub.current(true, now());
+                hub.snapshot(snapshot, loop.now());
+                hub.current(true, loop.now());
             });
             watch(snapshot.revision());
         });
@@ -152,7 +148,7 @@
         }
         state.range(Keys.JOBS, range -> {
             if (range == null) {
-                tell(hub -> hub.current(false, now()));
+                tell(hub -> hub.current(false, loop.now()));
                 loop.after(AGAIN_S, () -> range(handler));
                 return;
             }
@@ -184,15 +180,15 @@
                 }
                 long revision = Math.max(after, d.body().path("logbook").asLong(after));
                 tell(hub -> {
-                    hub.stored(revision, changes, now());
-                    hub.current(true, now());
+                    hub.stored(revision, changes, loop.now());
+                    hub.current(true, loop.now());
                 });
                 watch(revision);
             } else if (result instanceof StateClient.Done d && d.status() == 410) {
                 LOG.info("the state service has forgotten changes after {}, all jobs are read anew", after);
                 read();
             } else {
-                tell(hub -> hub.current(false, now()));
+                tell(hub -> hub.current(false, loop.now()));
                 loop.after(AGAIN_S, () -> watch(after));
             }
         });
@@ -205,7 +201,7 @@
         term = ofTerm;
         stories = new Stories(KEPT);
         asked = null;
-        tell(hub -> hub.present(List.of(), now()));
+        tell(hub -> hub.present(List.of(), loop.now()));
     }
 
     void ended() {
@@ -241,9 +237,9 @@
         } else if (missed) {
             missed = false;
             List<Soft> whole = stories.whole();
-            word(hub -> hub.present(whole, now()));
+            word(hub -> hub.present(whole, loop.now()));
         } else if (!news.isEmpty()) {
-            word(hub -> hub.told(news, now()));
+            word(hub -> hub.told(news, loop.now()));
         }
     }
 
@@ -285,9 +281,9 @@
                 if (waiting.get() >= MOST_WAITING) {
                     askedTo = -1;
                 } else if (news.whole()) {
-                    word(hub -> hub.present(news.events(), now()));
+                    word(hub -> hub.present(news.events(), loop.now()));
                 } else if (!news.events().isEmpty()) {
-                    word(hub -> hub.told(news.events(), now()));
+                    word(hub -> hub.told(news.events(), loop.now()));
                 }
             }
             loop.after(ASK_S, this::ask);
--- a/src/main/java/io/kelphoist/daemon/LabCommand.java
+++ b/src/main/java/io/kelphoist/daemon/LabCommand.java
@@ -42,14 +42,13 @@
     public Integer call() throws IOException, Settings.Invalid, InterruptedException {
         byte[] secret = new byte[KEY_BYTES];
         new SecureRandom().nextBytes(secret);
-        OperatorSettings d = OperatorSettings.DEFAULT;
+        OperatorSettings operator = OperatorSettings.DEFAULT.with(OperatorSettings.PARTS);
         try (Site site = new Site(Files.createTempDirectory("kelphoist-lab"), controllers, taskMs)) {
             List<String> doors = new ArrayList<>();
             for (int i = 0; i < controllers; i++) {
                 GrpcSettings grpc = new GrpcSettings(HostAndPort.fromParts("127.0.0.1", port + i), List.of(new GrpcSettings.CursorKey(1, secret)), null,
                         Map.of(), 2000, 200, 256, 20_000, 60, 200);
-                Daemon.start(site.settings().get(i), new OperatorSettings(d.leaderLeaseMs(), d.grantMs(), d.offerS(), d.localityWaitS(),
-                        d.machineHoldS(), d.gangHoldS(), d.headroom(), d.idleS(), true, grpc, null), System.nanoTime() * 1e-9);
+                Daemon.start(site.settings().get(i), operator.with(grpc), System.nanoTime() * 1e-9);
                 doors.add(grpc.listen().toString());
             }
             out.println("team t, machines of 8 CPUs, 4 GPUs, 64 GB in zone z; HTTP on " + String.join(",", site.serving()));
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -4,6 +4,7 @@
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Machine;
+import io.kelphoist.events.Hub;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -33,12 +34,12 @@
             FunctionCounter.builder("kelphoist.requests.put.off", controller.admission(), a -> a.putOff(why))
                     .description("Users' requests that got 503, by cause").tag("cause", why.name().toLowerCase(Locale.ROOT)).register(registry);
         }
-        gauge("kelphoist.streams", "Streams of job events", x -> x.following() == null ? 0 : x.following().hub().streams());
-        FunctionCounter.builder("kelphoist.events", controller, x -> x.following() == null ? 0 : x.following().hub().told())
+        gauge("kelphoist.streams", "Streams of job events", x -> hub(x, Hub::streams));
+        FunctionCounter.builder("kelphoist.events", controller, x -> hub(x, Hub::told))
                 .description("Job events told").register(registry);
-        FunctionCounter.builder("kelphoist.events.present", controller, x -> x.following() == null ? 0 : x.following().hub().merged())
+        FunctionCounter.builder("kelphoist.events.present", controller, x -> hub(x, Hub::merged))
                 .description("Job events that told how a job stands, in place of others").register(registry);
-        FunctionCounter.builder("kelphoist.streams.slow", controller, x -> x.following() == null ? 0 : x.following().hub().slow())
+        FunctionCounter.builder("kelphoist.streams.slow", controller, x -> hub(x, Hub::slow))
                 .description("Streams that were ended as they read too slowly").register(registry);
         gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
         gauge("kelphoist.term", "Last term led here", x -> x.election().term());
@@ -57,6 +58,11 @@
         return cluster == null ? 0 : of.applyAsDouble(cluster);
     }
 
+    private static double hub(Controller controller, ToDoubleFunction<Hub> of) {
+        Following following = controller.following();
+        return following == null ? 0 : of.applyAsDouble(following.hub());
+    }
+
     private void count(String name, String help, Counters c, ToDoubleFunction<Counters> of) {
         FunctionCounter.builder(name, c, of).description(help).register(registry);
     }
--- a/src/main/java/io/kelphoist/lab/StateStandIn.java
+++ b/src/main/java/io/kelphoist/lab/StateStandIn.java
@@ -68,10 +68,8 @@
 
     /** Something that no controller wrote. */
     public synchronized void put(String key, JsonNode value) {
-        items.put(key, new Item(value, ++revision, 0));
-        ObjectNode event = Cbor.map().put("put", key).put("entry", revision);
-        event.set("value", value);
-        events.add(new Event(key, event, revision));
+        revision++;
+        store(key, value, 0);
         notifyAll();
     }
 
@@ -136,6 +134,14 @@
         }
     }
 
+    /** At the revision of now. */
+    private void store(String key, JsonNode value, long lease) {
+        items.put(key, new Item(value, revision, lease));
+        ObjectNode event = Cbor.map().put("put", key).put("entry", revision);
+        event.set("value", value);
+        events.add(new Event(key, event, revision));
+    }
+
     private void delete(String key, long at) {
         items.remove(key);
         events.add(new Event(key, Cbor.map().put("delete", key).put("entry", at), at));
@@ -241,11 +247,7 @@
             if (a.has("delete")) {
                 delete(a.path("delete").asText(), revision);
             } else {
-                String key = a.path("put").asText();
-                items.put(key, new Item(a.path("value"), revision, a.path("tether").asLong()));
-                ObjectNode event = Cbor.map().put("put", key).put("entry", revision);
-                event.set("value", a.path("value"));
-                events.add(new Event(key, event, revision));
+                store(a.path("put").asText(), a.path("value"), a.path("tether").asLong());
             }
         }
         notifyAll();
--- a/src/test/java/io/kelphoist/daemon/GrpcTest.java
+++ b/src/test/java/io/kelphoist/daemon/GrpcTest.java
@@ -61,7 +61,7 @@
 
     @Override
     OperatorSettings operator() {
-        return new OperatorSettings(600, 500, 5, 1, 20, 15, 0.1, 40, true, SERVED, null);
+        return QUICK.with(SERVED);
     }
 
     @AfterEach
@@ -96,8 +96,7 @@
     }
 
     private static Job job(String id, Kind kind, int tasks) {
-        return Job.newBuilder().setId(id).setJobClass("c").setTeam("t").setKind(kind).setTasks(tasks).setCpus(1).setGpus(1).setMemoryGb(1)
-                .setImage("i").setImageGb(1).setEstimateS(1).setSpotAllowed(true).build();
+        return job(id, "t", kind, tasks);
     }
 
     private static WatchRequest named(String... jobs) {
@@ -112,6 +111,11 @@
         return m.getEvent().hasDoneEvent() || m.getEvent().hasCancelled();
     }
 
+    /** Its end is stored by nobody here. */
+    private void endsMeanwhile() {
+        state.put("j/job-91", Cbor.map().put("status", "done").put("at", 5).put("team", "t").put("class", "c"));
+    }
+
     @Test
     void oneAnswerAtBothDoors() throws Exception {
         List<String> lines = new String(GrpcTest.class.getResourceAsStream("/submissions.txt").readAllBytes(), StandardCharsets.UTF_8).lines()
@@ -321,7 +325,7 @@
         });
         daemons.forEach(Daemon::stop);
         daemons.clear();
-        state.put("j/job-91", Cbor.map().put("status", "done").put("at", 5).put("team", "t").put("class", "c"));
+        endsMeanwhile();
         startAll();
         Told more = new Told();
         client(0, 1).watch(named("job-91").toBuilder().setCursor(told.cursor).build(), more::take);
@@ -364,7 +368,7 @@
             if (m.getEvent().hasAccepted()) {
                 state.cut(true);
             } else if (m.hasState() && !m.getState().getCurrent()) {
-                state.put("j/job-91", Cbor.map().put("status", "done").put("at", 5).put("team", "t").put("class", "c"));
+                endsMeanwhile();
                 state.cut(false);
             }
             return !(m.hasState() && m.getState().getCurrent());
@@ -380,7 +384,7 @@
         Told told = new Told();
         client.watch(named("job-91"), m -> {
             if (told.events.isEmpty()) {
-                state.forgetChanges(() -> state.put("j/job-91", Cbor.map().put("status", "done").put("at", 5).put("team", "t").put("class", "c")));
+                state.forgetChanges(this::endsMeanwhile);
             }
             return told.take(m);
         });
--- a/src/test/java/io/kelphoist/daemon/GrpcTlsTest.java
+++ b/src/test/java/io/kelphoist/daemon/GrpcTlsTest.java
@@ -86,8 +86,7 @@
     }
 
     private static Job job(String id, String team) {
-        return Job.newBuilder().setId(id).setJobClass("c").setTeam(team).setKind(Kind.KIND_ARRAY).setTasks(1).setCpus(1).setGpus(1).setMemoryGb(1)
-                .setImage("i").setImageGb(1).setEstimateS(1).build();
+        return job(id, team, Kind.KIND_ARRAY, 1);
     }
 
     private static Status.Code refused(org.junit.jupiter.api.function.Executable what) {
--- a/src/test/java/io/kelphoist/daemon/OnSite.java
+++ b/src/test/java/io/kelphoist/daemon/OnSite.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
+import io.kelphoist.grpc.v1.Job;
+import io.kelphoist.grpc.v1.Kind;
 import io.kelphoist.lab.Site;
 import io.kelphoist.lab.StateStandIn;
 import io.kelphoist.lab.WorkerStandIn;
@@ -70,6 +72,12 @@
                 HttpResponse.BodyHandlers.ofByteArray());
     }
 
+    /** Its like over gRPC. */
+    static Job job(String id, String team, Kind kind, int tasks) {
+        return Job.newBuilder().setId(id).setJobClass("c").setTeam(team).setKind(kind).setTasks(tasks).setCpus(1).setGpus(1).setMemoryGb(1)
+                .setImage("i").setImageGb(1).setEstimateS(1).setSpotAllowed(true).build();
+    }
+
     static byte[] job(String id, String rig, int tasks) throws BadMessage {
         return Cbor.encode(Cbor.decodeJson("""
                 {"name_id":"%s","catch":"c","crew":"t","rig":"%s","tide":"normal","fronds":%d,"cpus":1.0,"accelerators":1.0,
--- a/src/test/java/io/kelphoist/daemon/StreamMeasure.java
+++ b/src/test/java/io/kelphoist/daemon/StreamMeasure.java
@@ -175,7 +175,7 @@
     }
 
     private static void submissions(int streams) throws Exception {
-        OperatorSettings operator = new OperatorSettings(600, 500, 5, 1, 20, 15, 0.1, 40, true, SETTINGS, null);
+        OperatorSettings operator = OnSite.QUICK.with(SETTINGS);
         try (Site site = new Site(Files.createTempDirectory("measure"), 2, 0)) {
             Daemon other = Daemon.start(site.settings().get(1), operator, System.nanoTime() * 1e-9);
             Daemon daemon = Daemon.start(site.settings().get(0), operator, System.nanoTime() * 1e-9);
@@ -187,8 +187,7 @@
             }
             Histogram took = new Histogram(3);
             for (int i = 0; i < 500; i++) {
-                Job job = Job.newBuilder().setId("job-1" + i).setJobClass("c").setTeam("t").setKind(Kind.KIND_ARRAY).setTasks(1).setCpus(1).setGpus(1)
-                        .setMemoryGb(1).setImage("i").setImageGb(1).setEstimateS(1).build();
+                Job job = OnSite.job("job-1" + i, "t", Kind.KIND_ARRAY, 1);
                 long from = System.nanoTime();
                 try {
                     stub.submit(SubmitRequest.newBuilder().setJob(job).build());
