--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -11,7 +11,7 @@
     void storeProgress(int page, List<TaskProgress> progress);
 
     /** Stores that a job is done; outcome: {@link Cluster#onJob}, or {@link Cluster#onEndNotStored}. */
-    void storeDone(String job, long version);
+    void storeDone(JobSpec job, long version);
 
     /** Stores that a job is cancelled with one that it needs; outcome as of {@link #storeDone}. */
     void storeCancelled(JobRecord job);
@@ -25,6 +25,9 @@
     /** Stores a page of what machines should have cached, see {@link Cluster#imagesOn}; outcome: {@link Cluster#onImagesStored}. */
     void storeImages(int page, List<Machine> machines);
 
+    /** Something happened to a job's tasks; the counts of the job hold it already. */
+    default void happened(Job job, Happening what) { }
+
     /** Rents machines; outcome: {@link Cluster#onRented}. */
     void rent(Rental rental);
 
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -4,6 +4,8 @@
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
 import io.kelphoist.sockets.SocketBudget;
+import io.kelphoist.trace.Exporters;
+import io.kelphoist.trace.JobTraces;
 import io.kelphoist.wire.Codec;
 import io.kelphoist.wire.HttpServing;
 import io.undertow.Undertow;
@@ -59,6 +61,14 @@
             }
         });
         Controller controller = made.join();
+        if (operator.traceTo() != null) {
+            Tracing tracing = new Tracing(new JobTraces(settings.node(), Exporters.to(operator.traceTo())), System::currentTimeMillis);
+            worker.getIoThread().execute(() -> controller.trace(tracing));
+        }
+        if (operator.grpc() != null) {
+            Following following = controller.follow(operator.grpc());
+            worker.getIoThread().execute(() -> controller.following(following));
+        }
         HostAndPort serve = HostAndPort.fromString(settings.serveOn());
         HostAndPort listen = HostAndPort.fromString(settings.peerListen());
         Daemon[] self = new Daemon[1];
@@ -124,14 +134,26 @@
         return exchange -> {
             switch (exchange.getRequestPath()) {
                 case "/peer/grant" -> HttpServing.withBody(exchange, PEER_BODY, controller::grant);
+                case "/peer/events" -> HttpServing.withBody(exchange, PEER_BODY, controller::events);
                 case "/peer/report" -> HttpServing.withBody(exchange, PEER_BODY, controller.reports()::relayed);
                 default -> HttpServing.status(exchange, 404);
             }
         };
     }
 
+    /** Where gRPC is served; 0: it is not. */
+    int grpcPort() {
+        return controller.following() == null ? 0 : controller.following().port();
+    }
+
     public void stop() {
+        if (controller.following() != null) {
+            controller.following().stop();
+        }
         server.stop();
+        if (controller.tracing() != null) {
+            controller.tracing().close();
+        }
         worker.shutdownNow();
     }
 }
--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -1,11 +1,14 @@
 package io.kelphoist.daemon;
 
+import io.kelphoist.cli.Cli;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Model.OptionSpec;
@@ -20,11 +23,20 @@
     /** The program goes on after the command line was carried out. */
     private static final int GOES_ON = -1;
 
+    /** Users' commands; a controller never loads what is behind them. */
+    private static final Set<String> COMMANDS = Set.of("submit", "watch", "get", "cancel");
+
     private Main() { }
 
     public static void main(String[] args) {
         quicken();
         logging();
+        if (args.length > 0 && args[0].equals("lab")) {
+            System.exit(LabCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out));
+        }
+        if (args.length > 0 && COMMANDS.contains(args[0])) {
+            System.exit(Cli.run(args, System.out, System.err));
+        }
         CommandLine line = new CommandLine(spec());
         line.setExecutionStrategy(Main::carryOut);
         int code = line.execute(args);
@@ -36,7 +48,8 @@
     private static CommandSpec spec() {
         CommandSpec spec = CommandSpec.create().name("kelphoist");
         spec.usageMessage().description("A controller of the kelphoist cluster scheduler.")
-                .footer("", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error")
+                .footer("", "Users' commands, over gRPC (each with --help): submit, watch, get, cancel", "To try things on this machine: lab", "", "Environment:", "  LOG_LEVEL   error, info or debug (default: info); logs go to standard error",
+                        "  LOG_FORMAT  json: a line of JSON each, with job, task, machine and term as fields")
                 .sortOptions(false);
         String version = Main.class.getPackage().getImplementationVersion();
         spec.version("kelphoist " + (version == null ? "(development)" : version));
@@ -70,6 +83,11 @@
     private static void logging() {
         String level = System.getenv("LOG_LEVEL");
         level = level == null ? "info" : level.toLowerCase(Locale.ROOT);
+        boolean json = "json".equalsIgnoreCase(System.getenv("LOG_FORMAT"));
+        // Named, so that nobody has to look for it: there are two.
+        System.setProperty("slf4j.provider", json ? "ch.qos.logback.classic.spi.LogbackServiceProvider" : "org.slf4j.simple.SimpleServiceProvider");
+        System.setProperty("slf4j.internal.verbosity", "WARN");
+        System.setProperty("kelphoist.log.level", level);
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", switch (level) {
             case "error", "debug", "warn", "trace" -> level;
             default -> "info";
--- /dev/null
+++ b/src/test/java/io/kelphoist/daemon/OnSite.java
@@ -0,0 +1,113 @@
+package io.kelphoist.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.config.OperatorSettings;
+import io.kelphoist.config.Settings;
+import io.kelphoist.lab.Site;
+import io.kelphoist.lab.StateStandIn;
+import io.kelphoist.lab.WorkerStandIn;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two controllers on loopback, with stand-ins for what is outside, and ways to ask them. */
+abstract class OnSite {
+    static final OperatorSettings QUICK = new OperatorSettings(600, 500, 5, 1, 20, 15, 0.1, 40, true, null, null);
+    @TempDir
+    Path dir;
+    final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    final List<Daemon> daemons = new ArrayList<>();
+    private Site site;
+    StateStandIn state;
+    WorkerStandIn.Ledger ledger;
+    List<String> serving;
+    List<Settings> settings;
+
+    @BeforeEach
+    void start() throws IOException, Settings.Invalid {
+        site = new Site(dir, 2, 0);
+        state = site.state();
+        ledger = site.ledger();
+        serving = site.serving();
+        settings = site.settings();
+        startAll();
+    }
+
+    /** The operators' settings of all of them. */
+    OperatorSettings operator() {
+        return QUICK;
+    }
+
+    void startAll() throws IOException {
+        for (Settings s : settings) {
+            daemons.add(Daemon.start(s, operator(), System.nanoTime() * 1e-9));
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        daemons.forEach(Daemon::stop);
+        site.close();
+    }
+
+    HttpResponse<byte[]> call(String node, String method, String path, byte[] body) throws IOException, InterruptedException {
+        return http.send(HttpRequest.newBuilder(URI.create("http://" + node + path))
+                .method(method, body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofByteArray(body)).build(),
+                HttpResponse.BodyHandlers.ofByteArray());
+    }
+
+    static byte[] job(String id, String rig, int tasks) throws BadMessage {
+        return Cbor.encode(Cbor.decodeJson("""
+                {"name_id":"%s","catch":"c","crew":"t","rig":"%s","tide":"normal","fronds":%d,"cpus":1.0,"accelerators":1.0,
+                 "ram_gb":1.0,"spore":"i","image_gb":1.0,"hulls":null,"bed":null,"same_place":false,"scatter":false,"driftwood":true,
+                 "haul_s":1.0,"mooring_s":0.0,"stow_s":0.0,"landfall_s":null}""".formatted(id, rig, tasks).getBytes(StandardCharsets.UTF_8)));
+    }
+
+    static byte[] job(String id, String rig, int tasks, String... needs) throws BadMessage {
+        ObjectNode m = Cbor.decode(job(id, rig, tasks));
+        for (String need : needs) {
+            m.withArray("holdfast").add(need);
+        }
+        return Cbor.encode(m);
+    }
+
+    /** As a user does: again while the answer is 503. */
+    HttpResponse<byte[]> insist(String node, String method, String path, byte[] body) throws IOException, InterruptedException {
+        HttpResponse<byte[]> r = call(node, method, path, body);
+        while (r.statusCode() == 503) {
+            r = call(node, method, path, body);
+        }
+        return r;
+    }
+
+    String status(String node, String id) throws IOException, InterruptedException, BadMessage {
+        HttpResponse<byte[]> r = insist(node, "GET", "/work/" + id, null);
+        assertEquals(200, r.statusCode());
+        return Cbor.decode(r.body()).path("sway").asText();
+    }
+
+    String leader() throws InterruptedException {
+        return state.await("k/leader", v -> true).path("node").asText();
+    }
+
+    void awaitMetric(String node, String pattern) throws IOException, InterruptedException {
+        Pattern wanted = Pattern.compile(pattern);
+        while (!wanted.matcher(new String(call(node, "GET", "/metrics", null).body(), StandardCharsets.UTF_8)).find()) {
+            Thread.onSpinWait();
+        }
+    }
+}
