Machines that are alike are looked at once; loops of a decision see what changed only

Cause: at 4,000 machines each waiting job ranked every offered machine, each gang sorted all of them by a cost that was computed in the comparison, each service and gang asked every machine what could be stopped there, several times a run; leases, orders and ends of jobs went over everything each time the loop woke. Change: Whereabouts knows where an image is; of machines that have nothing of a job's image, those of one kind that are equally full and as busy fetching are one to it. Stopping something for a faster start is looked for only where that start can be faster. Plans a run are bounded; orders and ends go by what changed; leases are looked at ten times a second.

--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -60,18 +60,26 @@
             waiting.values().forEach(jobs -> jobs.sort(TEAM_ORDER));
             List<Machine> machines = new ArrayList<>();
             Resources total = Resources.NONE;
+            MachineType type = null;
+            int ofType = 0;
             Resources least = waiting.values().stream().flatMap(List::stream).map(job -> job.spec.perTask()).reduce(Resources::least).orElseThrow();
             for (Machine m : cluster.machines.values()) {
                 if (m.takesWork(now)) {
-                    total = total.plus(m.type.capacity());
+                    if (m.type != type) {
+                        total = type == null ? total : total.plus(type.capacity().times(ofType));
+                        type = m.type;
+                        ofType = 0;
+                    }
+                    ofType++;
                     // On a busy day most machines are full, and every job asks every machine that is offered. A gang
                     // gives up its held pieces before it chooses anew.
-                    if (least.fitsIn(m.free().plus(m.held()))) {
+                    if (least.fitsIn(m.free()) || least.fitsIn(m.free().plus(m.held()))) {
                         machines.add(m);
                     }
                 }
             }
-            cluster.choosing = new Candidates(machines);
+            total = type == null ? total : total.plus(type.capacity().times(ofType));
+            cluster.choosing = new Candidates(machines, cluster.where, now);
             offer(waiting, cluster.choosing, total, left, now);
             considered += cluster.choosing.considered();
             left.sort(TEAM_ORDER);
--- a/src/main/java/io/kelphoist/core/ArrayScheduler.java
+++ b/src/main/java/io/kelphoist/core/ArrayScheduler.java
@@ -36,7 +36,7 @@
         if (now - job.waitingSince >= wait) {
             return false;
         }
-        for (Machine m : cluster.machines.values()) {
+        for (Machine m : cluster.where.of(job.image).keySet()) {
             if (m != offered && m.takesWork(now) && m.caches(job.image) && Placing.allowed(job, m)) {
                 return true;
             }
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -3,11 +3,14 @@
 import com.google.common.base.Preconditions;
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,6 +48,7 @@
     final Object2ObjectOpenHashMap<String, Machine> machines = new Object2ObjectOpenHashMap<>();
     /** Machines that were confirmed gone. Names are never used twice, late messages of them mean nothing. */
     private final Object2ObjectOpenHashMap<String, Boolean> gone = new Object2ObjectOpenHashMap<>();
+    final Whereabouts where = new Whereabouts();
     private final StartRecords starts;
     private final ProgressRecords progress;
     private final ImageRecords cached;
@@ -54,9 +58,14 @@
     private final Fleet fleet;
     /** What the allocator chooses among in the run under way; null: none is. */
     Candidates choosing;
+    private double fastestFetch;
     private long attempts;
     /** An earlier term left starts on record. */
     private boolean foundStarts;
+    /** Jobs whose end has to be stored. */
+    private final Set<Job> finishing = new ReferenceLinkedOpenHashSet<>();
+    /** Machines that may have to be told something. */
+    private final Set<Machine> untold = new ReferenceLinkedOpenHashSet<>();
     private boolean recovered;
     private boolean loading = true;
     private boolean deposed;
@@ -82,6 +91,7 @@
     public void setTypes(Collection<MachineType> list) {
         for (MachineType t : list) {
             types.put(t.name(), t);
+            fastestFetch = Math.max(fastestFetch, t.fetchGbPerS());
             t.zones().forEach(zones::of);
         }
     }
@@ -124,6 +134,11 @@
         return zones.name(zone);
     }
 
+    /** Of all machine types, in GB a second. */
+    double fastestFetch() {
+        return fastestFetch;
+    }
+
     double gbOf(int image) {
         return imageGb.getDouble(image);
     }
@@ -239,6 +254,7 @@
     /** A machine came to be known. */
     void add(Machine m) {
         machines.put(m.name, m);
+        m.notedIn(where);
         recall(m);
     }
 
@@ -283,7 +299,7 @@
             return;
         }
         Placement p = new Placement(job, start.task().task(), Placement.PRESUMED, m, 0, now);
-        m.placements.add(p);
+        m.put(p);
         starts.restore(page, p);
         count(p);
         foundStarts = true;
@@ -291,7 +307,7 @@
 
     /** The outcome of {@link Effects#storeStarts}. */
     public void onStartsStored(int page, PageOutcome outcome) {
-        starts.stored(page, outcome);
+        untold.addAll(starts.stored(page, outcome));
     }
 
     /**
@@ -424,7 +440,7 @@
             return null;
         }
         Placement p = new Placement(job, t.task(), t.attempt(), m, session, now);
-        m.placements.add(p);
+        m.put(p);
         if (t.phase() == TaskPhase.EXITED) {
             return p;
         }
@@ -468,7 +484,7 @@
             p.job.at.put(p.task, p);
             p.job.pending.clear(p.task);
         } else {
-            p.job.elsewhere++;
+            p.job.elsewhere.add(p);
         }
     }
 
@@ -482,12 +498,12 @@
         job.team.used = job.team.used.minus(job.spec.perTask());
         job.perZone[p.machine.zone]--;
         if (job.at.get(p.task) != p) {
-            job.elsewhere--;
+            job.elsewhere.remove(p);
         } else {
             job.at.remove(p.task);
-            Placement other = job.elsewhere == 0 ? null : another(job, p.task);
+            Placement other = another(job, p.task);
             if (other != null) {
-                job.elsewhere--;
+                job.elsewhere.remove(other);
                 job.at.put(p.task, other);
             } else if (job.open() && !job.done.get(p.task)) {
                 if (job.pending.isEmpty()) {
@@ -509,12 +525,10 @@
     }
 
     /** Another attempt at a task that is or may be somewhere: it must be gone before the task is started again. */
-    private Placement another(Job job, int task) {
-        for (Machine m : machines.values()) {
-            for (Placement p : m.placements) {
-                if (p.counted && p.job == job && p.task == task) {
-                    return p;
-                }
+    private static Placement another(Job job, int task) {
+        for (Placement p : job.elsewhere) {
+            if (p.task == task) {
+                return p;
             }
         }
         return null;
@@ -530,7 +544,7 @@
         }
         boolean ran = p.counted && !Double.isNaN(p.runningSince);
         p.to(Placement.State.GONE, p.exit(), now);
-        p.machine.placements.remove(p);
+        p.machine.drop(p);
         starts.ended(p);
         if (p.machine.placements.isEmpty()) {
             p.machine.idleSince = now;
@@ -617,6 +631,7 @@
         }
         if (job.active() && job.doneCount() == job.spec.tasks()) {
             job.to(Job.State.FINISHING);
+            finishing.add(job);
         }
     }
 
@@ -648,7 +663,7 @@
     void start(Job job, int task, Machine m, long attempt, double now) {
         Preconditions.checkState(job.active(), "%s may not start anything, it is %s", job.spec.id(), job.state());
         Placement p = new Placement(job, task, attempt, m, m.session, now);
-        m.placements.add(p);
+        m.put(p);
         count(p);
         starts.add(p);
         if (m.heldFor() == job) {
@@ -684,12 +699,17 @@
         p.stopGrace = grace;
         p.stopAt = now;
         p.stopSent = false;
+        untold.add(p.machine);
     }
 
     /** Sends what was decided straight to the workers, one order at a time each; answers repeat it. */
     private void flush(double now) {
-        for (Machine m : machines.values()) {
+        for (Iterator<Machine> i = untold.iterator(); i.hasNext();) {
+            Machine m = i.next();
             if (m.ordersInFlight || now < m.ordersRetryAt || !m.state().reports()) {
+                if (m.state() == Machine.State.GONE) {
+                    i.remove();
+                }
                 continue;
             }
             List<Command> calls = new ArrayList<>();
@@ -707,7 +727,9 @@
                     calls.add(new Command.Stop(p.job.spec.id(), p.task, p.attempt, p.stopGrace));
                 }
             }
-            if (!calls.isEmpty()) {
+            if (calls.isEmpty()) {
+                i.remove();
+            } else {
                 m.ordersInFlight = true;
                 effects.orders(m, m.session, calls);
             }
@@ -782,6 +804,7 @@
             }
             starts.nothingOn(m);
             cached.gone(m);
+            m.forgetImages();
         }
     }
 
@@ -790,9 +813,7 @@
     /** Runs what time alone brings about, and then the allocation. Call it often, and after input. */
     public void tick(double now) {
         leases.run(now);
-        for (Job job : new ArrayList<>(jobs.values())) {
-            store(job);
-        }
+        finishing.removeIf(this::stored);
         if (!recovered) {
             recovered = recover(now);
         }
@@ -837,10 +858,15 @@
         }
     }
 
-    private void store(Job job) {
-        if (job.state() == Job.State.FINISHING && !job.storing) {
+    /** Whether a job's end is on record, or no longer to be; else it is stored, unless that is under way. */
+    private boolean stored(Job job) {
+        if (job.state() != Job.State.FINISHING) {
+            return true;
+        }
+        if (!job.storing) {
             job.storing = true;
             effects.storeDone(job.spec, job.version);
         }
+        return false;
     }
 }
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -1,7 +1,9 @@
 package io.kelphoist.core;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.function.IntFunction;
 
 /**
  * Gangs: all tasks at once or none. Accepted pieces are held, counted to the team up to its guarantee, for a bounded
@@ -29,12 +31,12 @@
         if (!job.team.withinLimit(job.spec.perTask().times(job.spec.tasks()))) {
             return false;
         }
-        List<Machine> places = placeAll(offer.machines(), offer, job);
+        List<Machine> places = placeAll(job, zone -> offer.candidates().places(offer, job, zone));
         if (places.size() == job.spec.tasks()) {
             double fetch = places.stream().mapToDouble(m -> Placing.fetchSeconds(job, m)).max().orElse(0);
             if (preemption.beats(fetch, job, now)) {
                 // Where machines are made free for it the gang starts as soon as they are.
-                places = placeAll(job.heldOn, offer, job);
+                places = placeAll(job, zone -> onHeld(offer, job, zone));
                 if (places.size() < job.spec.tasks()) {
                     return false;
                 }
@@ -75,13 +77,13 @@
     }
 
     /** Places for as many tasks as fit, in the zone that takes most where all must share one. */
-    private static List<Machine> placeAll(List<Machine> machines, Offer offer, Job job) {
+    private static List<Machine> placeAll(Job job, IntFunction<List<Machine>> inZone) {
         if (!job.spec.oneZone()) {
-            return place(machines, offer, job, -1);
+            return inZone.apply(-1);
         }
         List<Machine> most = List.of();
         for (int zone = 0; zone < job.perZone.length; zone++) {
-            List<Machine> places = place(machines, offer, job, zone);
+            List<Machine> places = inZone.apply(zone);
             if (places.size() > most.size() || places.size() == most.size() && !places.isEmpty() && cost(job, places) < cost(job, most)) {
                 most = places;
             }
@@ -93,26 +95,51 @@
         return places.stream().mapToDouble(m -> Placing.cost(job, m)).max().orElse(Double.POSITIVE_INFINITY);
     }
 
-    private static List<Machine> place(List<Machine> machines, Offer offer, Job job, int onlyZone) {
-        List<Machine> places = new ArrayList<>();
-        Resources need = job.spec.perTask();
-        int[] inZone = new int[job.perZone.length];
-        List<Machine> candidates = new ArrayList<>();
-        for (Machine m : machines) {
+    /** Places on the machines that are held for it. */
+    private static List<Machine> onHeld(Offer offer, Job job, int onlyZone) {
+        List<Machine> held = new ArrayList<>();
+        for (Machine m : job.heldOn) {
             if ((onlyZone < 0 || m.zone == onlyZone) && offer.allows(job, m)) {
-                candidates.add(m);
+                held.add(m);
             }
         }
-        candidates.sort((a, b) -> Double.compare(Placing.cost(job, a), Placing.cost(job, b)));
-        for (Machine m : candidates) {
+        held.sort(Comparator.comparingDouble(m -> Placing.cost(job, m)));
+        Places places = new Places(job);
+        held.forEach(places::take);
+        return places.machines();
+    }
+
+    /** Places for a gang's tasks, as many on a machine as fit, filled in the order in which machines are given. */
+    static final class Places {
+        private final Job job;
+        private final int[] inZone;
+        private final List<Machine> machines = new ArrayList<>();
+
+        Places(Job job) {
+            this.job = job;
+            this.inZone = new int[job.perZone.length];
+        }
+
+        void take(Machine m) {
             Resources room = m.free();
-            while (places.size() < job.spec.tasks() && need.fitsIn(room) && inZone[m.zone] < job.spec.zoneCap()) {
-                places.add(m);
+            while (!complete() && job.spec.perTask().fitsIn(room) && open(m.zone)) {
+                machines.add(m);
                 inZone[m.zone]++;
-                room = room.minus(need);
+                room = room.minus(job.spec.perTask());
             }
         }
-        return places;
+
+        boolean open(int zone) {
+            return inZone[zone] < job.spec.zoneCap();
+        }
+
+        boolean complete() {
+            return machines.size() == job.spec.tasks();
+        }
+
+        List<Machine> machines() {
+            return machines;
+        }
     }
 
     private void hold(Job job, List<Machine> places, double now) {
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -42,8 +42,8 @@
     boolean storing;
     /** Where each task is or may be; only attempts that occupy room. */
     final Int2ObjectOpenHashMap<Placement> at = new Int2ObjectOpenHashMap<>();
-    /** Further attempts at tasks that {@link #at} names another one of. */
-    int elsewhere;
+    /** Further attempts at tasks that {@link #at} names another one of: they must be gone before such a task is started again. */
+    final List<Placement> elsewhere = new ArrayList<>();
     final int[] perZone;
     final boolean[] zoneAllowed;
     /** Attempt of a gang that is being started or runs; 0: none. */
@@ -64,6 +64,11 @@
     final List<Machine> heldOn = new ArrayList<>();
     /** Until then no machine is held for it. */
     double machineFilterUntil;
+    /** When it was last looked whether room could be made for it, and whether it could. */
+    double roomLookedAt = Double.NEGATIVE_INFINITY;
+    boolean roomToMake;
+    /** Until then its team's own work is not looked through for it. */
+    double ownRoomAt;
     int running;
 
     Job(JobRecord record, TeamState team, int image, Index zones, double acceptedAt, double now) {
--- a/src/main/java/io/kelphoist/core/Leases.java
+++ b/src/main/java/io/kelphoist/core/Leases.java
@@ -14,7 +14,11 @@
     static final double REPORT_ROUND = 1.25;
     private static final double LATE_S = 1.5;
 
+    /** Decisions come far more often than any of this changes; it looks at every machine. */
+    private static final double EVERY_S = 0.1;
+
     private final Cluster cluster;
+    private double nextRun;
     private final OtherAnswers others;
 
     Leases(Cluster cluster, OtherAnswers others) {
@@ -23,7 +27,11 @@
     }
 
     void run(double now) {
-        for (Machine m : new ArrayList<>(cluster.machines.values())) {
+        if (now < nextRun) {
+            return;
+        }
+        nextRun = now + EVERY_S;
+        for (Machine m : cluster.machines.values()) {
             m.quiet = m.unreached || now > m.lastReport + REPORT_ROUND * cluster.policy.reportS() + LATE_S;
             expire(m, now);
             notice(m, now);
@@ -33,8 +41,8 @@
                 }
                 m.endHold();
             }
+            escalate(m, now);
         }
-        escalate(now);
     }
 
     /**
@@ -75,13 +83,11 @@
     }
 
     /** A task that should have saved long ago is stopped for good. */
-    private void escalate(double now) {
-        for (Machine m : cluster.machines.values()) {
-            for (Placement p : m.placements) {
-                if (p.stopping() && p.stopGrace > 0 && p.state().occupies()
-                        && now > p.stopAt + p.stopGrace + cluster.policy.gangPeerS() + 5) {
-                    cluster.stop(p, 0, now);
-                }
+    private void escalate(Machine m, double now) {
+        for (Placement p : m.placements) {
+            if (p.stopping() && p.stopGrace > 0 && p.state().occupies() && now > p.stopAt + p.stopGrace + cluster.policy.gangPeerS() + 5) {
+                // It was sent, so that it stays where it is until the machine says otherwise.
+                cluster.stop(p, 0, now);
             }
         }
     }
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -60,6 +60,11 @@
     /** What both leave: asked for far more often than it changes. */
     private Resources free;
     final List<Placement> placements = new ArrayList<>();
+    /** Where this machine's images and its tasks' are noted, once it is known to the cluster. */
+    private Whereabouts where;
+    /** What it was offered in last, and as which of the machines there. */
+    private Candidates offeredIn;
+    private int offeredAs;
     /** Images it should have cached, least recently used first. */
     private final IntArrayList images = new IntArrayList();
     private double imagesGb;
@@ -156,6 +161,51 @@
         return placements.isEmpty();
     }
 
+    void notedIn(Whereabouts whereabouts) {
+        where = whereabouts;
+    }
+
+    /** An attempt is or may be here. */
+    void put(Placement p) {
+        placements.add(p);
+        where.add(p.job.image, this);
+    }
+
+    void drop(Placement p) {
+        if (placements.remove(p)) {
+            where.remove(p.job.image, this);
+        }
+    }
+
+    /** It is confirmed gone, with what it had cached. */
+    void forgetImages() {
+        images.forEach(image -> where.remove(image, this));
+        images.clear();
+    }
+
+    void offered(Candidates in, int as) {
+        offeredIn = in;
+        offeredAs = as;
+    }
+
+    boolean offeredIn(Candidates run) {
+        return offeredIn == run;
+    }
+
+    int offeredAs() {
+        return offeredAs;
+    }
+
+    /** Nothing is or may be here. */
+    boolean untouched() {
+        return used.gpus() + used.cpus() <= 1e-6;
+    }
+
+    /** Whom it is held for at this time; null: nobody. */
+    Job heldAt(double now) {
+        return now < heldUntil ? heldFor : null;
+    }
+
     boolean takesWork(double now) {
         return state == State.UP && takenAt == Double.POSITIVE_INFINITY && !quiet;
     }
@@ -178,7 +228,8 @@
     }
 
     boolean heldForOther(Job job, double now) {
-        return heldFor != null && heldFor != job && now < heldUntil;
+        Job held = heldAt(now);
+        return held != null && held != job;
     }
 
     /** What a report lists, where it is known here; null: it is not. */
@@ -253,10 +304,13 @@
             images.removeInt(at);
         } else {
             imagesGb += gb;
+            where.add(image, this);
         }
         images.add(image);
         while (imagesGb > type.cacheGb() && images.size() > 1) {
-            imagesGb -= sizes.gb(images.removeInt(0));
+            int dropped = images.removeInt(0);
+            imagesGb -= sizes.gb(dropped);
+            where.remove(dropped, this);
         }
         return at < 0;
     }
--- a/src/main/java/io/kelphoist/core/Placing.java
+++ b/src/main/java/io/kelphoist/core/Placing.java
@@ -41,16 +41,23 @@
         if (m.caches(job.image)) {
             return 0;
         }
-        int fetching = 1;
         for (Placement p : m.placements) {
             if (p.job.image == job.image && p.state().occupies()) {
                 return p.state() == Placement.State.RUNNING ? 0 : job.spec.imageGb() / m.type.fetchGbPerS() / 2;
             }
+        }
+        return job.spec.imageGb() / m.type.fetchGbPerS() * fetching(m);
+    }
+
+    /** Among how many fetches a machine would share its rate, with one that begins now. */
+    static int fetching(Machine m) {
+        int fetching = 1;
+        for (Placement p : m.placements) {
             if (p.state() == Placement.State.FETCHING || p.state() == Placement.State.SENT && !m.caches(p.job.image)) {
                 fetching++;
             }
         }
-        return job.spec.imageGb() / m.type.fetchGbPerS() * fetching;
+        return fetching;
     }
 
     /** Lower is better: time to start, then packing. */
@@ -58,7 +65,7 @@
         Resources left = m.free().minus(job.spec.perTask());
         double unused = left.dominantShare(m.type.capacity());
         double cost = fetchSeconds(job, m) + PACKING_S * unused;
-        if (m.used().gpus() + m.used().cpus() <= 1e-6 && unused > 0.5) {
+        if (m.untouched() && unused > 0.5) {
             cost += BREAK_EMPTY_S;
         }
         if (job.spec.spotAllowed() && !m.spot && job.priority().compareTo(Priority.HIGH) < 0) {
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -1,6 +1,7 @@
 package io.kelphoist.core;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import org.slf4j.Logger;
@@ -15,6 +16,8 @@
     /** Room often comes free by itself within this time. */
     private static final double PATIENCE_S = 0.3;
     private static final int MOST_PER_RUN = 4;
+    /** Each looks at every machine: what is left over is planned for in the next run. */
+    private static final int MOST_PLANS = 16;
     /** What stopping a task costs besides its work, and what a second of lost work counts against a second of waiting. */
     private static final double STOP_S = 0.2;
     private static final double LOST_WORK = 0.05;
@@ -24,6 +27,9 @@
     private static final double SLOW_FETCH = 1.33;
     /** Where no room can be made, that is looked at again after this time. */
     private static final double NEXT_PLAN_S = 1.0;
+    /** Whether room could be made for a gang is good for so long, and so is a look at its team's own work. */
+    private static final double LOOK_AGAIN_S = 0.5;
+    private static final double NEXT_OWN_S = 0.2;
     private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
     private final Cluster cluster;
 
@@ -33,8 +39,9 @@
 
     void run(List<Job> unplaced, double now) {
         int held = 0;
+        int plans = 0;
         for (Job job : unplaced) {
-            if (held >= MOST_PER_RUN) {
+            if (held >= MOST_PER_RUN || plans >= MOST_PLANS) {
                 return;
             }
             Resources need = atOnce(job);
@@ -45,11 +52,15 @@
                 continue;
             }
             if (!job.team.withinLimit(need)) {
-                makeRoomInTeam(job, need, now);
+                if (now >= job.ownRoomAt) {
+                    job.ownRoomAt = now + NEXT_OWN_S;
+                    makeRoomInTeam(job, need, now);
+                }
                 continue;
             }
-            if (job.heldOn.isEmpty() && hold(job, now)) {
-                held++;
+            if (job.heldOn.isEmpty()) {
+                plans++;
+                held += hold(job, now) ? 1 : 0;
             }
         }
     }
@@ -90,7 +101,7 @@
     }
 
     private boolean hold(Job job, double now) {
-        Plan plan = plan(job, now);
+        Plan plan = plan(job, Double.POSITIVE_INFINITY, now);
         if (plan == null) {
             job.machineFilterUntil = now + NEXT_PLAN_S;
             return false;
@@ -113,7 +124,17 @@
 
     /** Whether machines are held for it, or will be in this run. */
     boolean makesRoom(Job job, double now) {
-        return !job.heldOn.isEmpty() || now >= job.machineFilterUntil && job.team.withinLimit(atOnce(job)) && plan(job, now) != null;
+        if (!job.heldOn.isEmpty()) {
+            return true;
+        }
+        if (now < job.machineFilterUntil || !job.team.withinLimit(atOnce(job))) {
+            return false;
+        }
+        if (now >= job.roomLookedAt + LOOK_AGAIN_S) {
+            job.roomLookedAt = now;
+            job.roomToMake = plan(job, Double.POSITIVE_INFINITY, now) != null;
+        }
+        return job.roomToMake;
     }
 
     /**
@@ -127,7 +148,7 @@
         if (!job.heldOn.isEmpty()) {
             return true;
         }
-        Plan plan = plan(job, now);
+        Plan plan = plan(job, fetchS, now);
         if (plan == null || plan.cost >= fetchS || plan.pieces.stream().allMatch(piece -> piece.victims.isEmpty())) {
             return false;
         }
@@ -146,13 +167,17 @@
     /** Where a task, or a whole gang, would start soonest, and what that costs in seconds. */
     private record Plan(List<Piece> pieces, double cost) { }
 
-    private Plan plan(Job job, double now) {
+    /** @param below pieces that cost so much or more, in seconds, are not looked for: a plan with one is no cheaper */
+    private Plan plan(Job job, double below, double now) {
         boolean guaranteed = job.team.withinGuarantee(atOnce(job));
         int tasks = job.spec.kind() == JobKind.ARRAY ? 1 : Math.max(1, job.team.tasksWithinLimit(job.spec.perTask(), job.pending.cardinality()));
         List<Piece> all = new ArrayList<>();
-        for (Machine m : cluster.machines.values()) {
+        // Where nothing of the image is, a fetch takes this long at least.
+        double fetch = job.spec.imageGb() / cluster.fastestFetch();
+        Collection<Machine> cheapEnough = below <= fetch ? cluster.where.of(job.image).keySet() : cluster.machines.values();
+        for (Machine m : cheapEnough) {
             if (m.takesWork(now) && !m.heldForOther(job, now) && Placing.allowed(job, m)) {
-                pieces(job, m, tasks, guaranteed, now, all);
+                pieces(job, m, tasks, guaranteed, below, now, all);
             }
         }
         // Stable, and a machine's later pieces cost no less than its earlier ones: none is taken without those.
@@ -192,7 +217,11 @@
     }
 
     /** The cheapest tasks whose end makes one task after the other fit here. */
-    private static void pieces(Job job, Machine m, int most, boolean guaranteed, double now, List<Piece> into) {
+    private static void pieces(Job job, Machine m, int most, boolean guaranteed, double below, double now, List<Piece> into) {
+        double fetch = Placing.fetchSeconds(job, m);
+        if (fetch >= below) {
+            return;
+        }
         Resources need = job.spec.perTask();
         Resources room = m.freeSoon();
         List<Placement> possible = List.of();
@@ -205,7 +234,6 @@
             }
             possible.sort(Comparator.comparing((Placement p) -> p.job.priority()).thenComparingDouble(p -> p.workAtRisk(now)));
         }
-        double fetch = Placing.fetchSeconds(job, m);
         double grace = 0;
         double lost = 0;
         int next = 0;
--- a/src/main/java/io/kelphoist/core/StartRecords.java
+++ b/src/main/java/io/kelphoist/core/StartRecords.java
@@ -1,5 +1,8 @@
 package io.kelphoist.core;
 
+import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
+import java.util.Set;
+
 /**
  * What may be on machines, on record at the state service before any start is sent: nothing may run that the next
  * leader can't know of. Starts that were decided at about the same time share a change there.
@@ -50,9 +53,13 @@
         pages.run(now, p -> p.state() != Placement.State.EXITED || p.dangling || p.inFlight, effects::storeStarts);
     }
 
-    void stored(int page, PageOutcome outcome) {
+    /** Returns the machines of what was written. */
+    Set<Machine> stored(int page, PageOutcome outcome) {
+        Set<Machine> machines = new ReferenceLinkedOpenHashSet<>();
         for (Placement p : pages.written(page, outcome)) {
             p.recorded |= outcome == PageOutcome.STORED;
+            machines.add(p.machine);
         }
+        return machines;
     }
 }
--- a/src/test/java/io/kelphoist/core/Measure.java
+++ b/src/test/java/io/kelphoist/core/Measure.java
@@ -47,6 +47,37 @@
         for (int size : SIZES) {
             new Measure(size).run(true);
         }
+        System.out.println("machines  fill: decisions  all s  ms (p50, p99, max)");
+        for (int size : SIZES) {
+            new Measure(size).fill();
+        }
+    }
+
+    /**
+     * The first minute of a fleet: services, gangs and arrays wait for as many machines as they need, which come up one
+     * after the other, and no image is anywhere yet.
+     */
+    private void fill() {
+        begin(1);
+        for (int i = 0; i < size / 8; i++) {
+            submit(i * 3, new int[] {3, 3, 4, 6}[i % 4], JobKind.SERVICE);
+            submit(i * 3 + 1, new int[] {1, 2, 1, 4}[i % 4], JobKind.GANG);
+            if (i % 2 == 0) {
+                submit(i * 3 + 2, 12, JobKind.ARRAY);
+            }
+        }
+        double from = now;
+        int up = 0;
+        while (now < from + 60) {
+            now += 0.02;
+            for (; up < Math.min(size, size * (now - from) / 40); up++) {
+                cluster.onReport(report("vm-" + up, up, 1), now);
+            }
+            tick(true);
+        }
+        System.out.printf(Locale.ROOT, "%8d  %15d  %5.1f  %8.2f %8.2f %8.2f%n", size, decisions.getTotalCount(),
+                decisions.getMean() * decisions.getTotalCount() * 1e-9, decisions.getValueAtPercentile(50) * 1e-6,
+                decisions.getValueAtPercentile(99) * 1e-6, decisions.getMaxValue() * 1e-6);
     }
 
     private void begin(long term) {
@@ -55,8 +86,11 @@
     }
 
     private JobRecord job(int number, int tasks, JobKind kind) {
-        JobSpec spec = new JobSpec("job-" + number, "c" + number % 3, "team-" + number % 12, kind, Priority.NORMAL, tasks, new Resources(5, 1, 18), null,
-                null, false, false, true, "img-" + number % 40, 5, 60, 15, 3, null, List.of());
+        boolean gang = kind == JobKind.GANG;
+        Priority priority = gang ? Priority.HIGH : kind == JobKind.SERVICE ? Priority.PRODUCTION : Priority.NORMAL;
+        Resources needs = gang ? new Resources(21, PER_MACHINE, 77) : new Resources(5, 1, 18);
+        JobSpec spec = new JobSpec("job-" + number, "c" + number % 3, "team-" + number % 12, kind, priority, tasks, needs, null,
+                null, gang, kind == JobKind.SERVICE, kind != JobKind.SERVICE, "img-" + number % 40, 5, 60, 15, 3, null, List.of());
         return new JobRecord(spec.id(), spec, JobStatus.ACTIVE, 0, ++version);
     }
 
