Standby: records are followed by all controllers, the take-over's round is asked for and not waited for

Change: package standby: TakeOver is the one state machine from a term's beginning to its first decision, with named checks that are logged as they pass; Mirror is a passive copy of the records that every controller keeps by watches, proved current by a question for each part after the term was taken. RecordFeed in state follows a prefix for leader, standby and the gRPC door. Each machine that is known gets an order without commands under the own token; who answers has seen it and refuses whatever an earlier leader sent; who does not counts until its lease is over. Renting waits until the list can have what an earlier leader rented last.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -38,7 +38,6 @@
     final Policy policy;
     final Effects effects;
     final long term;
-    final double startedAt;
     final Index zones = new Index();
     final Index images = new Index();
     private final DoubleArrayList imageGb = new DoubleArrayList();
@@ -56,26 +55,28 @@
     private final Leases leases;
     private final Allocator allocator;
     private final Fleet fleet;
+    private final FirstDecision first;
     /** What the allocator chooses among in the run under way; null: none is. */
     Candidates choosing;
     private double fastestFetch;
     private long attempts;
-    /** An earlier term left starts on record. */
-    private boolean foundStarts;
     /** Jobs whose end has to be stored. */
     private final Set<Job> finishing = new ReferenceLinkedOpenHashSet<>();
     /** Machines that may have to be told something. */
     private final Set<Machine> untold = new ReferenceLinkedOpenHashSet<>();
-    private boolean recovered;
     private boolean loading = true;
     private boolean deposed;
 
-    /** @param others who else may have answered reports, see {@link OtherAnswers} */
-    public Cluster(Policy policy, Effects effects, OtherAnswers others, long term, Collection<MachineType> types, double now) {
+    /**
+     * @param others who else may have answered reports, see {@link OtherAnswers}
+     * @param first what must hold before anything is decided
+     */
+    public Cluster(Policy policy, Effects effects, OtherAnswers others, FirstDecision first, long term, Collection<MachineType> types,
+                   double now) {
         this.policy = policy;
         this.effects = effects;
         this.term = term;
-        this.startedAt = now;
+        this.first = first;
         policy.zones().forEach(zones::of);
         policy.teams().forEach(t -> teams.put(t.name(), new TeamState(t)));
         setTypes(types);
@@ -85,7 +86,7 @@
         dependencies = new Dependencies(jobs, effects);
         leases = new Leases(this, others);
         allocator = new Allocator(this);
-        fleet = new Fleet(this);
+        fleet = new Fleet(this, first);
     }
 
     public void setTypes(Collection<MachineType> list) {
@@ -117,7 +118,7 @@
 
     /** True once the take-over's round of reports is over. */
     public boolean recovered() {
-        return recovered;
+        return first.mayDecide(Double.NaN);
     }
 
     /** How many machines schedulers were offered so far, for each job anew: what decisions cost. */
@@ -302,7 +303,6 @@
         m.put(p);
         starts.restore(page, p);
         count(p);
-        foundStarts = true;
     }
 
     /** The outcome of {@link Effects#storeStarts}. */
@@ -366,7 +366,7 @@
                 LOG.info("machine {} ({}, {}{}) is up after {} s", m.name, m.type.name(), zones.name(m.zone), m.spot ? ", spot" : "",
                         Math.round(now - m.rentedAt));
             }
-            m.to(Machine.State.UP, now);
+            m.to(m.wasDraining() ? Machine.State.DRAINING : Machine.State.UP, now);
         }
         if (report.noticeS() != null && m.takenAt == Double.POSITIVE_INFINITY) {
             m.takenAt = now + report.noticeS();
@@ -376,6 +376,21 @@
         return m;
     }
 
+    /** An earlier leader told of a machine: whom to ask, nothing more. It counts as heard of now, as nobody knows better. */
+    public void onTold(ToldMachine told, double now) {
+        MachineType t = types.get(told.type());
+        Machine m = machines.get(told.name());
+        if (m == null && t != null && !gone.containsKey(told.name())) {
+            m = new Machine(told.name(), told.address(), t, zones.of(told.zone()), told.spot(),
+                    told.up() ? Machine.State.JOINING : Machine.State.BOOTING, now - told.ageS());
+            m.joined(now);
+            add(m);
+        }
+        if (m != null) {
+            m.told(told, now);
+        }
+    }
+
     private Machine adopt(MachineReport report, double now) {
         MachineType t = types.get(report.type());
         if (gone.containsKey(report.machine()) || t == null) {
@@ -736,6 +751,19 @@
         }
     }
 
+    /**
+     * How a question for a report ended, which is an order without commands. An address may belong to another machine by
+     * now: who answers says who it is.
+     */
+    public void onAsked(String machine, OrderOutcome outcome, MachineReport report, double now) {
+        Machine m = machines.get(machine);
+        if (report != null) {
+            ingest(report, now);
+        } else if (m != null && outcome != OrderOutcome.NOT_TRIED) {
+            m.unreached = true;
+        }
+    }
+
     /** How a direct order ended; {@code report} is the worker's, where it sent one. */
     public void onOrders(String machine, OrderOutcome outcome, MachineReport report, double now) {
         Machine m = machines.get(machine);
@@ -762,6 +790,7 @@
 
     public void onCloudList(List<CloudPage> list, double now) {
         list.forEach(page -> fleet.onList(page, now));
+        first.listed(now);
     }
 
     public void onRented(Rental rental, List<String> names, boolean refused, double now) {
@@ -814,10 +843,7 @@
     public void tick(double now) {
         leases.run(now);
         finishing.removeIf(this::stored);
-        if (!recovered) {
-            recovered = recover(now);
-        }
-        if (recovered) {
+        if (first.mayDecide(now)) {
             allocator.run(now);
             fleet.run(allocator.unplaced(), now);
         }
@@ -828,20 +854,6 @@
         flush(now);
     }
 
-    /**
-     * Take-over: one full round of reports before anything is offered. A machine that does not report within it is not
-     * waited for any longer: what is on its record counts as running there until its lease has surely ended.
-     */
-    private boolean recover(double now) {
-        if (foundStarts && now < startedAt + Leases.REPORT_ROUND * policy.reportS()) {
-            return false;
-        }
-        long silent = machines.values().stream().filter(m -> m.state() == Machine.State.JOINING).count();
-        LOG.info("term {}: take-over complete after {} s, {} machines ({} silent), {} jobs", term,
-                round(now - startedAt), machines.size(), silent, jobs.size());
-        return true;
-    }
-
     /** Its lease is surely over: nothing of what was there goes on. */
     void lost(Machine m, double now) {
         m.deadSession = Math.max(m.deadSession, m.session);
--- /dev/null
+++ b/src/main/java/io/kelphoist/core/FirstDecision.java
@@ -0,0 +1,11 @@
+package io.kelphoist.core;
+
+/** What must hold before a leader decides anything, and before it rents; once it does, it does for the whole term. */
+public interface FirstDecision {
+    boolean mayDecide(double now);
+
+    boolean mayRent(double now);
+
+    /** The cloud has listed its machines. */
+    void listed(double now);
+}
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -46,6 +46,7 @@
     }
 
     private final Cluster cluster;
+    private final FirstDecision first;
     private final Consolidation consolidation;
     private final Listings listings = new Listings();
     private final Map<Kind, Double> refusedUntil = new HashMap<>();
@@ -58,8 +59,9 @@
     private double returnRetryAt;
     private long requests;
 
-    Fleet(Cluster cluster) {
+    Fleet(Cluster cluster, FirstDecision first) {
         this.cluster = cluster;
+        this.first = first;
         this.consolidation = new Consolidation(cluster);
     }
 
@@ -82,6 +84,9 @@
         double headroom = headroom(rooms);
         consolidation.run(!unplaced.isEmpty(), headroom, now);
         double spare = spare(rooms, headroom, wanted, now);
+        if (!first.mayRent(now)) {
+            wanted.clear();
+        }
         wanted.forEach((kind, count) -> {
             for (int left = count; left > 0; left -= MOST_PER_REQUEST) {
                 ask(kind, Math.min(left, MOST_PER_REQUEST), now);
@@ -310,12 +315,18 @@
             MachineType type = cluster.types.get(c.type());
             if (m == null && type != null && !cluster.knownGone(c.name())) {
                 LOG.info("machine {} adopted from the list", c.name());
-                m = new Machine(c.name(), c.address(), type, cluster.zones.of(c.zone()), c.spot(), Machine.State.BOOTING, now - c.ageS());
+                // A machine that is up may answer at once; it counts as room only for as long as it may be about to report.
+                m = new Machine(c.name(), c.address(), type, cluster.zones.of(c.zone()), c.spot(),
+                        c.state() == CloudMachine.CloudState.RUNNING ? Machine.State.JOINING : Machine.State.BOOTING, now - c.ageS());
+                m.joined(now);
                 cluster.add(m);
             }
             if (m == null) {
                 continue;
             }
+            if (m.address == null) {
+                m.address = c.address();
+            }
             if (c.state() == CloudMachine.CloudState.FAILED && m.to(Machine.State.RETURNING, now)) {
                 // It stopped by itself: nothing runs there any more.
                 LOG.info("machine {} failed, {} tasks with it", m.name, m.placements.size());
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -35,6 +35,9 @@
     String address;
     private State state;
     long session;
+    long toldSession;
+    /** An earlier leader was emptying it. */
+    private boolean toldDraining;
     long seq;
     /** Sessions up to this one are over, whatever late messages say. */
     long deadSession;
@@ -93,6 +96,12 @@
         return state;
     }
 
+    /** It came to be known now, whenever it was rented: an earlier leader may have answered it until now. */
+    void joined(double now) {
+        lastAnswer = now;
+        lastReport = now;
+    }
+
     /** The one function for every change of state. */
     boolean to(State next, double now) {
         if (state == next || state == State.GONE || state == State.RETURNING && next != State.GONE) {
@@ -157,6 +166,48 @@
         return session;
     }
 
+    /** The session that an earlier leader told, a hint with which to ask it; 0: none. */
+    public long toldSession() {
+        return Math.max(session, toldSession);
+    }
+
+    /** What an earlier leader said of it, as far as nothing better is known. */
+    void told(ToldMachine told, double now) {
+        if (address == null) {
+            address = told.address();
+        }
+        toldSession = told.session();
+        unreached |= told.quiet() && unheard();
+        toldDraining = told.draining();
+        if (takenAt == Double.POSITIVE_INFINITY) {
+            takenAt = now + told.takenInS();
+        }
+    }
+
+    /** An earlier leader was emptying it, for a reason that is still there: it gets no new work from this one either. */
+    boolean wasDraining() {
+        return toldDraining && state == State.JOINING;
+    }
+
+    /** Known of, and not heard under this term. */
+    public boolean unheard() {
+        return state == State.JOINING;
+    }
+
+    public boolean mayRunSomething() {
+        return !placements.isEmpty();
+    }
+
+    /** A service or a gang is or may be here. */
+    public boolean runsTogether() {
+        for (Placement p : placements) {
+            if (p.job.spec.kind() != JobKind.ARRAY) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean idle() {
         return placements.isEmpty();
     }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -23,6 +23,7 @@
 import io.kelphoist.core.TaskProgress;
 import io.kelphoist.peer.PeerCalls;
 import io.kelphoist.sockets.SocketBudget;
+import io.kelphoist.standby.TakeOver;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.StateClient;
@@ -58,6 +59,13 @@
     private static final double LOAD_EVERY_S = 5;
     private static final double NEWS_EVERY_S = 1.0;
     private static final int STATE_CONNECTIONS = 6;
+    /** Watches that nobody waits for any more are held until their time is over. */
+    private static final int WATCH_CONNECTIONS = 12;
+    /** Questions to machines at a time in a take-over: a part of the connections for orders, and no more than are soon answered. */
+    private static final int QUESTION_PART = 2;
+    private static final int MOST_QUESTIONS = 128;
+    /** Reports come every so often, give or take a quarter. */
+    private static final double REPORT_ROUND = 1.25;
 
     /** Counts for the metrics, by what happened. */
     final Counters counters = new Counters();
@@ -82,6 +90,10 @@
 
     private Cluster cluster;
     private Store store;
+    /** Of the term under way here; null: there is none. */
+    private TakeOver takeOver;
+    private final Followed followed;
+    private final int mostQuestions;
     private boolean loaded;
     private boolean tickSoon;
     private double nextDecision;
@@ -113,12 +125,14 @@
                 }
             }
         };
-        state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, 4), loop,
+        state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, WATCH_CONNECTIONS), loop,
                 settings.stateLimits().rps() * 0.45, this::garbage);
+        followed = new Followed(state, loop);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
         cloud = new CloudSide(new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage),
                 state, loop, settings.cloudLimits().rps(), () -> cluster, types -> ifStored(s -> s.types(types)), this::soon);
         SocketBudget sockets = new SocketBudget(settings.sockets());
+        mostQuestions = Math.max(1, Math.min(MOST_QUESTIONS, sockets.orderLines() / QUESTION_PART));
         workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1), sockets.orderLines());
         connections = new WorkerConnections(sockets, settings.workers().leaseS());
         Map<String, HttpCaller> callers = new HashMap<>();
@@ -184,6 +198,7 @@
         leadership.tick();
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER && cluster != null && loaded && election.mayAct(now)) {
+            takeOver.run(cluster.machines(), now);
             cluster.tick(now);
             counters.decisions++;
             counters.decisionS += loop.now() - now;
@@ -195,7 +210,7 @@
             }
             cloud.ask(now);
             handOverIfCutOff(now);
-            caretaking.provide(cluster, store.knownUntil(), now);
+            caretaking.provide(cluster, followed.knownUntil(), now);
             caretaking.note(store, System.currentTimeMillis(), now);
             tellLoad(now);
         }
@@ -249,15 +264,42 @@
         }
         store = new Store(state, committer, loop, System::currentTimeMillis, (int) (settings.stateLimits().valueKb() * 1024), termVersion,
                 () -> election.resign("the term has moved on", loop.now()), this::soon);
-        cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), term, cloud.types(), loop.now());
-        Cluster loading = cluster;
-        Store reading = store;
-        store.load(cluster, (peer, baseMs) -> caretaking.recorded(peer, baseMs, System.currentTimeMillis(), loop.now()), () -> {
-            if (cluster == loading) {
-                loaded = true;
-                reading.types(cloud.types());
-                LOG.info("term {}: {} machines and {} jobs read after {} ms", term, loading.machines().size(), loading.jobs().size(),
-                        Math.round((loop.now() - ledSince) * 1000));
+        takeOver = new TakeOver(term, REPORT_ROUND * settings.workers().reportS(), settings.cloudLimits().listLagS(), mostQuestions, this::ask,
+                loop.now());
+        cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), takeOver, term, cloud.types(), loop.now());
+        prove(cluster, termVersion);
+    }
+
+    /** What was followed is proved to be current, or read, and taken in. */
+    private void prove(Cluster loading, long termVersion) {
+        followed.prove(records -> {
+            if (cluster != loading) {
+                return;
+            }
+            if (!takeOver.read(records.oldest(), termVersion, loop.now())) {
+                followed.follow();
+                prove(loading, termVersion);
+                return;
+            }
+            store.load(loading, records, (peer, baseMs) -> caretaking.recorded(peer, baseMs, System.currentTimeMillis(), loop.now()));
+            followed.lead(store);
+            loaded = true;
+            store.types(cloud.types());
+            LOG.info("term {}: {} machines and {} jobs known after {} ms", loading.term(), loading.machines().size(), loading.jobs().size(),
+                    Math.round((loop.now() - ledSince) * 1000));
+            tick();
+        });
+    }
+
+    /** Asks a machine for a report, under the token of this term: from then on it refuses whatever an earlier leader sent. */
+    private void ask(Machine machine, long session) {
+        Cluster asking = cluster;
+        TakeOver by = takeOver;
+        counters.questions++;
+        workers.orders(machine.address(), leadership.election().term(), Math.max(1, session), List.of(), loop.now(), (outcome, report) -> {
+            if (cluster == asking) {
+                asking.onAsked(machine.name, outcome, report, loop.now());
+                by.answered(machine.name, outcome, report);
                 soon();
             }
         });
@@ -272,7 +314,9 @@
         }
         store = null;
         cluster = null;
+        takeOver = null;
         loaded = false;
+        followed.follow();
         caretaking.ended();
         if (following != null) {
             following.ended();
@@ -297,7 +341,7 @@
     @Override
     public void asking(String peer, ObjectNode request) {
         if (loaded) {
-            caretaking.ask(peer, request, cluster, store.knownUntil(), loop.now());
+            caretaking.ask(peer, request, cluster, followed.knownUntil(), loop.now());
         }
     }
 
--- a/src/main/java/io/kelphoist/daemon/Counters.java
+++ b/src/main/java/io/kelphoist/daemon/Counters.java
@@ -6,6 +6,7 @@
     volatile long relayed;
     volatile long cared;
     volatile long orders;
+    volatile long questions;
     volatile long unanswered;
     volatile long badMessages;
     volatile long bugs;
--- a/src/main/java/io/kelphoist/daemon/Following.java
+++ b/src/main/java/io/kelphoist/daemon/Following.java
@@ -19,6 +19,7 @@
 import io.kelphoist.peer.PeerCalls;
 import io.kelphoist.peer.StoriesCodec;
 import io.kelphoist.state.Keys;
+import io.kelphoist.state.RecordFeed;
 import io.kelphoist.state.Records;
 import io.kelphoist.state.StateClient;
 import io.kelphoist.wire.BadMessage;
@@ -42,7 +43,7 @@
  * state service, and the leader's word by asking the leader. Between the event loop, where all of this runs, and the
  * events' thread, which owns the hub, tasks with immutable contents are handed over; neither waits for the other.
  */
-final class Following implements Backend {
+final class Following implements Backend, RecordFeed.Reader {
     private static final Logger LOG = LoggerFactory.getLogger(Following.class);
     private static final int HOLD_MS = 1000;
     private static final double AGAIN_S = 0.25;
@@ -61,6 +62,7 @@
     private final Supplier<String> leader;
     private final ScheduledExecutorService events;
     private final GrpcDoor door;
+    private final RecordFeed stored;
     private volatile boolean stopped;
     /** Null: this controller does not lead. */
     private Stories stories;
@@ -80,6 +82,7 @@
         this.thread = thread;
         this.peers = peers;
         this.leader = leader;
+        stored = new RecordFeed(state, loop, Keys.JOBS, HOLD_MS, this);
         events = Executors.newSingleThreadScheduledExecutor(r -> {
             Thread t = new Thread(r, "events");
             t.setDaemon(true);
@@ -90,7 +93,7 @@
     }
 
     void begin() {
-        read();
+        stored.follow(0);
         ask();
     }
 
@@ -108,6 +111,7 @@
             return;
         }
         stopped = true;
+        onLoop(stored::stop);
         door.close();
         events.shutdown();
     }
@@ -132,29 +136,50 @@
 
     // ---- what is stored ----
 
-    private void read() {
-        range(snapshot -> {
-            tell(hub -> {
-                hub.snapshot(snapshot, loop.now());
-                hub.current(true, loop.now());
-            });
-            watch(snapshot.revision());
+    @Override
+    public void all(StateClient.Range range, double askedAt) {
+        Hub.Snapshot snapshot = snapshot(range);
+        tell(hub -> {
+            hub.snapshot(snapshot, loop.now());
+            hub.current(true, loop.now());
         });
     }
 
+    @Override
+    public void changed(JsonNode events, long revision, double askedAt) {
+        List<JobRecord> changes = new ArrayList<>();
+        for (JsonNode e : events) {
+            if (e.has("put")) {
+                record(e.path("put").asText(), e.path("value"), e.path("entry").asLong(), changes);
+            }
+        }
+        tell(hub -> {
+            hub.stored(revision, changes, loop.now());
+            hub.current(true, loop.now());
+        });
+    }
+
+    @Override
+    public void behind() {
+        tell(hub -> hub.current(false, loop.now()));
+    }
+
+    private static Hub.Snapshot snapshot(StateClient.Range range) {
+        List<JobRecord> jobs = new ArrayList<>(range.items().size());
+        range.items().forEach(i -> record(i.path("key").asText(), i.path("value"), i.path("entry").asLong(), jobs));
+        return new Hub.Snapshot(range.revision(), List.copyOf(jobs));
+    }
+
     private void range(Consumer<Hub.Snapshot> handler) {
         if (stopped) {
             return;
         }
         state.range(Keys.JOBS, range -> {
             if (range == null) {
-                tell(hub -> hub.current(false, loop.now()));
                 loop.after(AGAIN_S, () -> range(handler));
-                return;
+            } else {
+                handler.accept(snapshot(range));
             }
-            List<JobRecord> jobs = new ArrayList<>(range.items().size());
-            range.items().forEach(i -> record(i.path("key").asText(), i.path("value"), i.path("entry").asLong(), jobs));
-            handler.accept(new Hub.Snapshot(range.revision(), List.copyOf(jobs)));
         });
     }
 
@@ -166,34 +191,6 @@
         }
     }
 
-    private void watch(long after) {
-        if (stopped) {
-            return;
-        }
-        state.watch(Keys.JOBS, after, HOLD_MS, result -> {
-            if (result instanceof StateClient.Done d && d.status() == 200) {
-                List<JobRecord> changes = new ArrayList<>();
-                for (JsonNode e : d.body().path("events")) {
-                    if (e.has("put")) {
-                        record(e.path("put").asText(), e.path("value"), e.path("entry").asLong(), changes);
-                    }
-                }
-                long revision = Math.max(after, d.body().path("logbook").asLong(after));
-                tell(hub -> {
-                    hub.stored(revision, changes, loop.now());
-                    hub.current(true, loop.now());
-                });
-                watch(revision);
-            } else if (result instanceof StateClient.Done d && d.status() == 410) {
-                LOG.info("the state service has forgotten changes after {}, all jobs are read anew", after);
-                read();
-            } else {
-                tell(hub -> hub.current(false, loop.now()));
-                loop.after(AGAIN_S, () -> watch(after));
-            }
-        });
-    }
-
     // ---- the leader's word ----
 
     /** A term begins here. */
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -1,6 +1,5 @@
 package io.kelphoist.daemon;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.JobRecord;
@@ -11,6 +10,7 @@
 import io.kelphoist.core.PageOutcome;
 import io.kelphoist.core.Placement;
 import io.kelphoist.core.TaskProgress;
+import io.kelphoist.standby.Mirror;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.Records;
@@ -32,8 +32,6 @@
 final class Store {
     private static final Logger LOG = LoggerFactory.getLogger(Store.class);
     private static final double PATIENCE_S = 20;
-    /** Each answered watch also tells up to when all changes of jobs are known here. */
-    private static final int HOLD_MS = 1000;
 
     private final StateClient state;
     private final Committer committer;
@@ -45,7 +43,6 @@
     private final Runnable changed;
     private Cluster cluster;
     private boolean closed;
-    private double knownUntil = Double.NEGATIVE_INFINITY;
     /** Last known versions of the keys that only leaders write. */
     private final Map<String, Long> versions = new HashMap<>();
 
@@ -65,118 +62,63 @@
         closed = true;
     }
 
-    /** All changes of jobs that were stored before this moment (the loop's clock) were taken in. */
-    double knownUntil() {
-        return knownUntil;
-    }
-
     // ---- reading ----
 
-    /** Reads jobs, progress, starts and mandates; a part that can't be read is read again. */
-    void load(Cluster into, ObjDoubleConsumer<String> mandated, Runnable loaded) {
+    /** Takes all records into a new term's cluster, and with them the versions of what only leaders write. */
+    void load(Cluster into, Mirror records, ObjDoubleConsumer<String> mandated) {
         cluster = into;
-        double since = loop.now();
-        range(Keys.JOBS, jobs -> {
-            knownUntil = since;
-            jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
-            range(Keys.PROGRESS, progress -> {
-                progress.items().forEach(i -> page(i, Keys.PROGRESS,
-                        (page, value) -> Records.progress(value).forEach(p -> into.onProgressLoaded(page, p))));
-                range(Keys.STARTS, starts -> {
-                    starts.items().forEach(i -> page(i, Keys.STARTS,
-                            (page, value) -> Records.starts(value).forEach(start -> into.onStartLoaded(page, start, loop.now()))));
-                    range(Keys.MANDATES, mandates -> {
-                        mandates.items().forEach(i -> {
-                            String key = i.path("key").asText();
-                            versions.put(key, i.path("entry").asLong());
-                            mandated.accept(key.substring(Keys.MANDATES.length()), Records.mandate(i.path("value")));
-                        });
-                        hints(into);
-                        into.onLoaded(loop.now());
-                        loaded.run();
-                        watchJobs(jobs.revision());
-                    });
-                });
-            });
+        records.jobs().forEach(this::job);
+        records.progress().forEach((page, p) -> {
+            versions.put(Keys.page(Keys.PROGRESS, page), p.version());
+            p.value().forEach(done -> into.onProgressLoaded(page, done));
+        });
+        records.starts().forEach((page, p) -> {
+            versions.put(Keys.page(Keys.STARTS, page), p.version());
+            p.value().forEach(start -> into.onStartLoaded(page, start, loop.now()));
         });
+        records.mandates().forEach((peer, note) -> {
+            versions.put(Keys.MANDATES + peer, note.version());
+            mandated.accept(peer, note.value());
+        });
+        hints(into);
+        into.onLoaded(loop.now());
     }
 
     /** Hints are not waited for: the first offers may go without. */
     private void hints(Cluster into) {
-        range(Keys.IMAGES, images -> images.items().forEach(i -> page(i, Keys.IMAGES,
-                (page, value) -> Records.images(value).forEach(m -> into.onImagesLoaded(page, m)))));
-    }
-
-    /** Reads a page; one that can't be understood is named and means nothing. */
-    private interface Reader {
-        void read(int page, JsonNode value) throws BadMessage;
-    }
-
-    private void page(JsonNode item, String prefix, Reader reader) {
-        String key = item.path("key").asText();
-        versions.put(key, item.path("entry").asLong());
-        try {
-            reader.read(Keys.page(prefix, key), item.path("value"));
-        } catch (BadMessage e) {
-            LOG.error("record {}: {}", key, e.getMessage());
-        }
-    }
-
-    private void range(String prefix, Consumer<StateClient.Range> then) {
-        if (closed) {
-            return;
-        }
-        state.range(prefix, range -> {
+        state.range(Keys.IMAGES, images -> {
             if (closed) {
                 return;
             }
-            if (range == null) {
-                loop.after(0.2, () -> range(prefix, then));
-            } else {
-                then.accept(range);
+            if (images == null) {
+                loop.after(0.2, () -> hints(into));
+                return;
             }
+            images.items().forEach(i -> {
+                String key = i.path("key").asText();
+                versions.put(key, i.path("entry").asLong());
+                try {
+                    int page = Keys.page(Keys.IMAGES, key);
+                    Records.images(i.path("value")).forEach(m -> into.onImagesLoaded(page, m));
+                } catch (BadMessage e) {
+                    LOG.error("record {}: {}", key, e.getMessage());
+                }
+            });
         });
     }
 
-    private void job(String key, JsonNode value, long version) {
-        try {
-            JobRecord record = Records.job(key, value, version);
+    /** A job's record as it was read, or has changed. */
+    void job(JobRecord record) {
+        if (!closed) {
             cluster.onJob(record, Math.max(0, (wallMs.getAsLong() - record.atMs()) / 1000.0), loop.now());
-        } catch (BadMessage e) {
-            LOG.error("record {}: {}", key, e.getMessage());
         }
     }
 
-    private void watchJobs(long after) {
-        if (closed) {
-            return;
+    /** Something that was read may let decisions be made. */
+    void changed() {
+        if (!closed) {
+            changed.run();
         }
-        double since = loop.now();
-        state.watch(Keys.JOBS, after, HOLD_MS, result -> {
-            if (closed) {
-                return;
-            }
-            if (result instanceof StateClient.Done d && d.status() == 200) {
-                knownUntil = since;
-                for (JsonNode e : d.body().path("events")) {
-                    if (e.has("put")) {
-                        job(e.path("put").asText(), e.path("value"), e.path("entry").asLong());
-                    }
-                }
-                if (d.body().path("events").size() > 0) {
-                    changed.run();
-                }
-                watchJobs(Math.max(after, d.body().path("logbook").asLong(after)));
-            } else if (result instanceof StateClient.Done d && d.status() == 410) {
-                range(Keys.JOBS, jobs -> {
-                    jobs.items().forEach(i -> job(i.path("key").asText(), i.path("value"), i.path("entry").asLong()));
-                    changed.run();
-                    watchJobs(jobs.revision());
-                });
-            } else {
-                loop.after(0.25, () -> watchJobs(after));
-            }
-        });
     }
 
     // ---- writing ----
@@ -285,7 +227,11 @@
     /** Takes in what is stored of a job; false if nothing is. */
     private boolean read(String job, StateClient.Result result) {
         if (result instanceof StateClient.Done d && d.status() == 200) {
-            job(Keys.job(job), d.body().path("value"), d.body().path("entry").asLong());
+            try {
+                job(Records.job(Keys.job(job), d.body().path("value"), d.body().path("entry").asLong()));
+            } catch (BadMessage e) {
+                LOG.error("record of {}: {}", job, e.getMessage());
+            }
             return true;
         }
         return false;
--- a/src/main/java/io/kelphoist/worker/WorkerCalls.java
+++ b/src/main/java/io/kelphoist/worker/WorkerCalls.java
@@ -25,6 +25,8 @@
     }
 
     private static final int TIMEOUT_MS = 2500;
+    /** A question without commands is not waited for as long: nothing of it matters later. */
+    private static final int QUESTION_TIMEOUT_MS = 1000;
     private static final double KEEP_S = 40;
     private static final float LOAD = 0.75f;
     private final Function<String, HttpCaller> connect;
@@ -51,6 +53,7 @@
         return lines.size();
     }
 
+    /** Commands, or where there are none a question for a report. */
     public void orders(String address, long token, long session, List<Command> commands, double now, Ended ended) {
         Line line = lines.get(address);
         if (line == null) {
@@ -62,7 +65,8 @@
             lines.put(address, line);
         }
         line.used = now;
-        line.caller.call("POST", "/orders", Cbor.encode(Codec.orders(token, session, commands)), TIMEOUT_MS, reply -> {
+        line.caller.call("POST", "/orders", Cbor.encode(Codec.orders(token, session, commands)),
+                commands.isEmpty() ? QUESTION_TIMEOUT_MS : TIMEOUT_MS, reply -> {
             if (reply instanceof HttpCaller.NotSent) {
                 ended.on(Cluster.OrderOutcome.NOT_SENT, null);
             } else if (reply instanceof HttpCaller.Answer a && (a.status() == 200 || a.status() == 409)) {
--- a/src/test/java/io/kelphoist/core/Measure.java
+++ b/src/test/java/io/kelphoist/core/Measure.java
@@ -82,7 +82,20 @@
 
     private void begin(long term) {
         Policy policy = new Policy(List.of("a", "b"), teams, REPORT_S, 22, 8, 5, 3, 20, 15, 0, 40, 4000, 0.1, 0.5, Map.of());
-        cluster = new Cluster(policy, this, OtherAnswers.NONE, term, List.of(type), now);
+        cluster = new Cluster(policy, this, OtherAnswers.NONE, new FirstDecision() {
+            @Override
+            public boolean mayDecide(double at) {
+                return true;
+            }
+
+            @Override
+            public boolean mayRent(double at) {
+                return true;
+            }
+
+            @Override
+            public void listed(double at) { }
+        }, term, List.of(type), now);
     }
 
     private JobRecord job(int number, int tasks, JobKind kind) {
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kelphoist.standby.Check;
+import io.kelphoist.standby.TakeOver;
 import io.kelphoist.state.Records;
 import io.kelphoist.wire.Cbor;
 import java.util.ArrayList;
@@ -24,6 +26,9 @@
     private final List<Team> teams = new ArrayList<>();
     private final List<MachineType> types = new ArrayList<>();
     private Cluster cluster;
+    private TakeOver takeOver;
+    /** Machines that were asked for a report, and with which session. */
+    private final Map<String, Long> questions = new TreeMap<>();
     private double now;
     private long version = 100;
     private List<Command> answer;
@@ -60,6 +65,7 @@
             case "at" -> {
                 now = Double.parseDouble(w[1]);
                 if (cluster != null) {
+                    takeOver.run(cluster.machines(), now);
                     cluster.tick(now);
                 }
                 if (election != null) {
@@ -90,6 +96,13 @@
                 note(answer);
             }
             case "order" -> ordered(w, with);
+            case "told" -> {
+                cluster.onTold(new ToldMachine(w[1], with.getOrDefault("address", w[1] + ":1"), types.get(0).name(), with.getOrDefault("zone", zones.get(0)),
+                        with.containsKey("spot"), (long) number(with, "session", 1), !with.containsKey("booting"), with.containsKey("draining"),
+                        with.containsKey("quiet"), number(with, "age", 100), number(with, "taken", Double.POSITIVE_INFINITY)), now);
+                takeOver.told(now);
+            }
+            case "asked" -> asked(w, with);
             case "starts-store" -> startsStoreWorks = w[1].equals("works");
             case "images-store" -> imagesOutcome = PageOutcome.valueOf(w[1].toUpperCase());
             case "starts-stored" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.STORED);
@@ -140,7 +153,11 @@
 
     private void term(long term) {
         Policy policy = new Policy(List.copyOf(zones), List.copyOf(teams), 2, 10, 8, 5, 3, 20, 15, 0, 40, recordBytes, 0.01, 0.01, Map.of("relaxed", 15.0));
-        cluster = new Cluster(policy, this, (machine, zone, at) -> Math.min(at, caredUntil), term, types, now);
+        // One round of reports every 2 s, give or take a quarter; as if the list were never late.
+        takeOver = new TakeOver(term, 2.5, 0, 100, (m, session) -> questions.put(m.name, session), now);
+        cluster = new Cluster(policy, this, (machine, zone, at) -> Math.min(at, caredUntil), takeOver, term, types, now);
+        takeOver.read(1, 1, now);
+        questions.clear();
         orders.clear();
         stored.clear();
         rentals.clear();
@@ -226,6 +243,22 @@
         cluster.onOrders(w[1], Cluster.OrderOutcome.valueOf(w[2].toUpperCase()), report, now);
     }
 
+    /** asked vm-1 executed|refused|not_sent|unanswered|not_tried [as=VM] [SESSION SEQ TOKEN tasks...]; as: who answers there */
+    private void asked(String[] w, Map<String, String> with) {
+        MachineReport report = null;
+        if (w.length > 3) {
+            List<String> r = new ArrayList<>(List.of(w));
+            r.removeIf(word -> word.startsWith("as="));
+            r.remove(2);
+            r.set(1, with.getOrDefault("as", w[1]));
+            report = report(r.toArray(String[]::new), with);
+        }
+        assertNotNull(questions.remove(w[1]), "was not asked");
+        Cluster.OrderOutcome outcome = Cluster.OrderOutcome.valueOf(w[2].toUpperCase());
+        cluster.onAsked(w[1], outcome, report, now);
+        takeOver.answered(w[1], outcome, report);
+    }
+
     private void stored(String id) {
         if (stored.remove("done " + id)) {
             cluster.onJob(new JobRecord(id, null, JobStatus.DONE, 0, ++version), 0, now);
@@ -281,6 +314,9 @@
             case "finish-by" -> assertEquals(Double.parseDouble(w[3]), cluster.jobs.get(w[2]).latestFinish(), 1e-9);
             case "page" -> assertEquals(rest(w, 3), recorded.getOrDefault(Integer.parseInt(w[2]), List.of()).stream()
                     .map(p -> p.job().spec.id() + "/" + p.task()).collect(Collectors.joining(" ")));
+            case "questions" -> assertEquals(rest(w, 2), questions.isEmpty() ? "none" : questions.entrySet().stream()
+                    .map(q -> q.getKey() + "@" + q.getValue()).collect(Collectors.joining(" ")));
+            case "check" -> assertEquals(Boolean.valueOf(w[3]), !Double.isNaN(takeOver.passedAfter(Check.valueOf(w[2]))));
             case "recovered" -> assertEquals(Boolean.valueOf(w[2]), cluster.recovered());
             case "deposed" -> assertEquals(Boolean.valueOf(w[2]), cluster.deposed());
             case "job" -> assertEquals(w[3], cluster.jobs.containsKey(w[2]) ? cluster.jobs.get(w[2]).state().name().toLowerCase() : "none");
