Hand-over on purpose: a leader that stops settles, tells its last and names who follows best

Need: a planned replacement cost as much as a crash: lease or release, then up to 1.5 s until the successor's own word had lapsed. Change: a controller that is told to stop decides nothing more, waits up to a second for answers and writes, releases, and tells all others that its term is over (/peer/over, 404 to the version before, which waits as ever), with what its followers did not have yet. A word given to a term that its own leader has ended need not lapse: nobody can act under that term again. Who follows best goes first, the others 0.4 s later in case that one is dead. The same for hand-overs of a leader that no worker reaches.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -121,6 +121,11 @@
         return first.mayDecide(Double.NaN);
     }
 
+    /** Whether some order has neither an answer nor was given up. */
+    public boolean ordersOpen() {
+        return machines.values().stream().anyMatch(m -> m.ordersInFlight);
+    }
+
     /** How many machines schedulers were offered so far, for each job anew: what decisions cost. */
     public long considered() {
         return allocator.considered();
--- a/src/main/java/io/kelphoist/core/Election.java
+++ b/src/main/java/io/kelphoist/core/Election.java
@@ -33,6 +33,9 @@
 
         void release(long lease);
 
+        /** Release the lease, and tell the others that this term is over for good: nobody need wait for anything. */
+        void handOver(long endedTerm, long lease);
+
         void askForGrant(String peer, long term, double sentAt);
 
         void began(long term);
@@ -43,6 +46,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Election.class);
     private static final double MARGIN_S = 0.05;
     private static final double COOL_S = 15;
+    /** So long who is not named waits for who is, when a leader hands over. */
+    private static final double SECOND_S = 0.4;
 
     private final String self;
     private final List<String> peers;
@@ -55,6 +60,9 @@
     private double leaseUntil;
     private final Map<String, Double> grants = new HashMap<>();
     private double lastGranted;
+    private long lastGrantedTerm;
+    /** The newest term of which its own leader said that it is over. */
+    private long overTerm;
     private double nextRenew;
     private double nextAsk;
     private double notBefore;
@@ -135,13 +143,33 @@
 
     /** Another controller asks for our word that we will not lead for a while. */
     public boolean grant(long askedTerm, double now) {
-        if (state != State.FOLLOWER || askedTerm < leaderTerm) {
+        if (state != State.FOLLOWER || askedTerm < leaderTerm || askedTerm <= overTerm) {
             return false;
         }
         lastGranted = now;
+        lastGrantedTerm = Math.max(lastGrantedTerm, askedTerm);
         return true;
     }
 
+    /**
+     * The leader of a term says, after it stopped, that it acts no more. A word that was given to it need not lapse: it was
+     * for that term or an older one, which the same or an earlier leader can never act under again.
+     *
+     * @param first this controller is to lead next; another one waits a moment, in case that one is dead
+     */
+    public void onOver(long endedTerm, boolean first, double now) {
+        if (endedTerm < lastGrantedTerm || endedTerm < leaderTerm || endedTerm <= overTerm || state == State.LEADER) {
+            return;
+        }
+        overTerm = endedTerm;
+        lastGranted = Double.NEGATIVE_INFINITY;
+        if (state == State.FOLLOWER) {
+            known = true;
+            leader = null;
+            notBefore = Math.max(notBefore, now + (first ? 0 : SECOND_S));
+        }
+    }
+
     public void onGranted(String peer, long askedTerm, double sentAt) {
         if (state == State.LEADER && askedTerm == term) {
             grants.merge(peer, sentAt + grantS * (1 - 2 * Policy.DRIFT) - MARGIN_S, Math::max);
@@ -191,11 +219,12 @@
         if (state == State.LEADER) {
             LOG.info("term {}: hands over: {}", term, why);
             long held = lease;
+            long ended = term;
             notBefore = now + COOL_S;
             leader = null;
             known = false;
             to(State.FOLLOWER, now);
-            actions.release(held);
+            actions.handOver(ended, held);
         }
     }
 
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -64,6 +64,9 @@
     /** Questions to machines at a time in a take-over: a part of the connections for orders, and no more than are soon answered. */
     private static final int QUESTION_PART = 2;
     private static final int MOST_QUESTIONS = 128;
+    /** What was sent may take so long to be answered when this controller stops; and so long its last word. */
+    private static final double SETTLE_S = 1.0;
+    private static final double FAREWELL_S = 0.3;
     /** Reports come every so often, give or take a quarter. */
     private static final double REPORT_ROUND = 1.25;
 
@@ -94,6 +97,8 @@
     private final Standby standby;
     private final int mostQuestions;
     private boolean loaded;
+    /** It decides nothing more. */
+    private boolean leaving;
     private boolean tickSoon;
     private double nextDecision;
     private double newsAt;
@@ -198,6 +203,9 @@
         leadership.tick();
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER && cluster != null && loaded && election.mayAct(now)) {
+            if (leaving) {
+                return;
+            }
             standby.takeOver().run(cluster.machines(), now);
             cluster.tick(now);
             counters.decisions++;
@@ -314,9 +322,9 @@
         if (store != null) {
             store.close();
         }
+        standby.ended(cluster);
         store = null;
         cluster = null;
-        standby.ended();
         loaded = false;
         followed.follow();
         caretaking.ended();
@@ -348,6 +356,49 @@
         }
     }
 
+    @Override
+    public String successor() {
+        return standby.successor();
+    }
+
+    @Override
+    public void handingOver(String peer, ObjectNode message) {
+        standby.handingOver(peer, message);
+    }
+
+    /** Another leader says that it acts no more. */
+    public void over(HttpServerExchange exchange, byte[] body) {
+        try {
+            ObjectNode m = Cbor.decodeJson(body);
+            standby.over(m);
+            leadership.over(m);
+            HttpServing.json(exchange, 200, Cbor.map());
+        } catch (BadMessage e) {
+            counters.badMessages++;
+            HttpServing.status(exchange, 400);
+        }
+    }
+
+    /**
+     * This controller is about to stop: it decides nothing more, waits a moment for what it sent to be answered and for what
+     * it writes to be stored, and hands over.
+     */
+    void leave(Runnable left) {
+        leaving = true;
+        leave(loop.now() + SETTLE_S, left);
+    }
+
+    private void leave(double until, Runnable left) {
+        boolean settled = cluster == null || !cluster.ordersOpen() && committer.waiting() == 0;
+        if (!settled && loop.now() < until) {
+            loop.after(TICK_S / 4, () -> leave(until, left));
+            return;
+        }
+        boolean led = cluster != null;
+        leadership.election().resign("it stops", loop.now());
+        loop.after(led ? FAREWELL_S : 0, left);
+    }
+
     @Override
     public void answered(String peer, ObjectNode answer, double sentAt) {
         standby.answered(peer, answer);
--- a/src/main/java/io/kelphoist/daemon/Daemon.java
+++ b/src/main/java/io/kelphoist/daemon/Daemon.java
@@ -17,6 +17,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -30,6 +31,7 @@
     private static final int PEER_BODY = 4 << 20;
     /** Connections are taken again once there are so many fewer than the most, as a part of it. */
     private static final int SLACK = 16;
+    private static final int LEAVE_S = 3;
 
     private final XnioWorker worker;
     private final Undertow server;
@@ -134,6 +136,7 @@
         return exchange -> {
             switch (exchange.getRequestPath()) {
                 case "/peer/grant" -> HttpServing.withBody(exchange, PEER_BODY, controller::grant);
+                case "/peer/over" -> HttpServing.withBody(exchange, PEER_BODY, controller::over);
                 case "/peer/events" -> HttpServing.withBody(exchange, PEER_BODY, controller::events);
                 case "/peer/report" -> HttpServing.withBody(exchange, PEER_BODY, controller.reports()::relayed);
                 default -> HttpServing.status(exchange, 404);
@@ -146,6 +149,14 @@
         return controller.following() == null ? 0 : controller.following().port();
     }
 
+    /** Hands over if this controller leads, and stops. Called from outside of the event loop. */
+    public void leave() {
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        worker.getIoThread().execute(() -> controller.leave(() -> left.complete(null)));
+        left.completeOnTimeout(null, LEAVE_S, TimeUnit.SECONDS).join();
+        stop();
+    }
+
     public void stop() {
         if (controller.following() != null) {
             controller.following().stop();
--- a/src/main/java/io/kelphoist/daemon/Leadership.java
+++ b/src/main/java/io/kelphoist/daemon/Leadership.java
@@ -35,6 +35,12 @@
         void asking(String peer, ObjectNode request);
 
         void answered(String peer, ObjectNode answer, double sentAt);
+
+        /** The term that ended here is handed over to this peer, and all are told: what else is there to say to each? */
+        void handingOver(String peer, ObjectNode message);
+
+        /** Who should lead next; null: nobody in particular. */
+        String successor();
     }
 
     private final String self;
@@ -46,6 +52,8 @@
     private final Election election;
     private final Map<String, Double> askedAt = new HashMap<>();
     private long termVersion;
+    /** Who followed best when the last term that was led here ended. */
+    private String successor;
     private long watched = -1;
     private boolean reading;
     private long newest = -1;
@@ -251,6 +259,23 @@
         loop.after(0.3, this::readKeys);
     }
 
+    @Override
+    public void handOver(long endedTerm, long lease) {
+        String next = successor == null ? "" : successor;
+        state.release(lease, released -> peers.names().forEach(peer -> {
+            ObjectNode body = Cbor.map().put("term", endedTerm).put("from", self).put("next", next);
+            listener.handingOver(peer, body);
+            peers.call(peer, "/peer/over", body, PEER_TIMEOUT_MS, answer -> { });
+        }));
+        loop.after(0.3, this::readKeys);
+    }
+
+    /** Another leader says that its term is over. */
+    void over(JsonNode message) {
+        election.onOver(message.path("term").asLong(), message.path("next").asText().equals(self), loop.now());
+        tick();
+    }
+
     @Override
     public void askForGrant(String peer, long term, double sentAt) {
         ObjectNode body = listener.news().put("term", term).put("from", self).put("state_ok", state.failingFor() == 0);
@@ -298,6 +323,7 @@
 
     @Override
     public void ended() {
+        successor = listener.successor();
         listener.ended();
     }
 }
--- a/src/main/java/io/kelphoist/daemon/Main.java
+++ b/src/main/java/io/kelphoist/daemon/Main.java
@@ -143,10 +143,8 @@
             return 0;
         }
         Daemon daemon = Daemon.start(settings, own, STARTED_AT);
-        if (own.grpc() != null || own.traceTo() != null) {
-            // Streams end with a cursor to go on elsewhere, and spans that wait are sent.
-            Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "leave"));
-        }
+        // A leader hands over; streams end with a cursor to go on elsewhere, and spans that wait are sent.
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::leave, "leave"));
         return GOES_ON;
     }
 }
--- a/src/main/java/io/kelphoist/daemon/Standby.java
+++ b/src/main/java/io/kelphoist/daemon/Standby.java
@@ -23,6 +23,8 @@
     private final Picture picture = new Picture();
     /** Of the term that is led here; null: none is. */
     private Telling telling;
+    /** Of the term that ended here last. */
+    private Telling last;
     /** Of the term under way here; null: there is none. */
     private TakeOver takeOver;
     private double tookAt = Double.NEGATIVE_INFINITY;
@@ -41,7 +43,12 @@
         tookAt = Double.NEGATIVE_INFINITY;
     }
 
-    void ended() {
+    /** @param cluster null: nothing was led */
+    void ended(Cluster cluster) {
+        if (telling != null && cluster != null && cluster.recovered()) {
+            telling.take(cluster.toTell());
+        }
+        last = telling;
         takeOver = null;
         telling = null;
     }
@@ -85,6 +92,26 @@
         }
     }
 
+    /** Who follows best; null: nobody is known to. */
+    String successor() {
+        return telling == null ? null : telling.best();
+    }
+
+    /** The term ends here by itself: what has not been told yet is told with that. */
+    void handingOver(String peer, ObjectNode message) {
+        if (last != null) {
+            message.set(FollowCodec.FIELD, FollowCodec.message(last.next(peer, loop.now())));
+        }
+    }
+
+    /** Another leader handed over. */
+    void over(JsonNode message) {
+        Telling.Message m = FollowCodec.message(message.path(FollowCodec.FIELD));
+        if (on && m != null) {
+            picture.take(message.path("term").asLong(), m, loop.now());
+        }
+    }
+
     // ---- as a follower ----
 
     /** A leader asks for a grant; adds to the answer how far this controller is. */
--- a/src/main/java/io/kelphoist/peer/PeerCalls.java
+++ b/src/main/java/io/kelphoist/peer/PeerCalls.java
@@ -5,6 +5,7 @@
 import io.kelphoist.wire.Cbor;
 import io.kelphoist.wire.HttpCaller;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Calls to the other controllers, by name. */
@@ -21,6 +22,10 @@
         this.peers = Map.copyOf(peers);
     }
 
+    public Set<String> names() {
+        return peers.keySet();
+    }
+
     public boolean knows(String peer) {
         return peers.containsKey(peer);
     }
--- a/src/main/java/io/kelphoist/standby/Telling.java
+++ b/src/main/java/io/kelphoist/standby/Telling.java
@@ -150,6 +150,17 @@
         return new Message(f.have, upTo, head, changed, over, digests, mended, clock);
     }
 
+    /** Who has most of it; null: nobody was heard. */
+    public String best() {
+        String best = null;
+        for (Map.Entry<String, Follower> f : followers.entrySet()) {
+            if (f.getValue().have > 0 && (best == null || f.getValue().have > followers.get(best).have)) {
+                best = f.getKey();
+            }
+        }
+        return best;
+    }
+
     /** How many changes the follower that is farthest behind has not said to have; 0 where none was heard. */
     public long behind() {
         return followers.values().stream().mapToLong(f -> head - f.have).max().orElse(0);
--- a/src/main/java/io/kelphoist/state/StateClient.java
+++ b/src/main/java/io/kelphoist/state/StateClient.java
@@ -128,7 +128,11 @@
     }
 
     public void release(long lease) {
-        send("DELETE", "/leases/" + lease, null, true, r -> { });
+        release(lease, r -> { });
+    }
+
+    public void release(long lease, Consumer<Result> handler) {
+        send("DELETE", "/leases/" + lease, null, true, handler);
     }
 
     @Override
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -438,6 +438,7 @@
             case "renewed" -> election.onRenewed(7, !with.containsKey("ended"), renewAskedAt, now);
             case "granted" -> election.onGranted(w[1], Long.parseLong(w[2]), grantAskedAt.get(w[1]));
             case "asks" -> assertEquals(w[3], election.grant(Long.parseLong(w[2]), now) ? "yes" : "no");
+            case "over" -> election.onOver(Long.parseLong(w[1]), with.containsKey("first"), now);
             case "resign" -> election.resign("test", now);
             default -> throw new IllegalArgumentException(w[0]);
         }
@@ -459,6 +460,11 @@
         asked.add("release");
     }
 
+    @Override
+    public void handOver(long endedTerm, long lease) {
+        asked.add("hand-over-" + endedTerm);
+    }
+
     @Override
     public void askForGrant(String peer, long term, double sentAt) {
         asked.add("ask-" + peer);
