A term of its own: what one term brings to the outside leaves Controller, attempts leave Cluster

Need: Controller and Cluster are too large, and each outcome had to ask whether its term was still the one under way. Change: daemon.Term holds a term's cluster, store and take-over, and ends as one; core.Attempts is what becomes of attempts that workers report.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -52,6 +52,7 @@
     private final ProgressRecords progress;
     private final ImageRecords cached;
     private final Dependencies dependencies;
+    private final Attempts attempts;
     private final Leases leases;
     private final Allocator allocator;
     private final Fleet fleet;
@@ -59,7 +60,7 @@
     /** What the allocator chooses among in the run under way; null: none is. */
     Candidates choosing;
     private double fastestFetch;
-    private long attempts;
+    private long lastAttempt;
     /** Jobs whose end has to be stored. */
     private final Set<Job> finishing = new ReferenceLinkedOpenHashSet<>();
     /** Machines that may have to be told something. */
@@ -84,6 +85,7 @@
         progress = new ProgressRecords(policy, effects);
         cached = new ImageRecords(policy, images, this::gbOf, effects);
         dependencies = new Dependencies(jobs, effects);
+        attempts = new Attempts(this, progress, cached);
         leases = new Leases(this, others);
         allocator = new Allocator(this);
         fleet = new Fleet(this, first);
@@ -437,7 +439,7 @@
                 p = adoptTask(m, t, report.session(), now);
             }
             if (p != null) {
-                advance(p, t, now);
+                attempts.advance(p, t, now);
             }
         }
         for (Placement p : new ArrayList<>(m.placements)) {
@@ -519,7 +521,7 @@
         }
     }
 
-    private void uncount(Placement p, double now) {
+    void uncount(Placement p, double now) {
         if (!p.counted) {
             return;
         }
@@ -565,7 +567,7 @@
         return null;
     }
 
-    private static double round(double seconds) {
+    static double round(double seconds) {
         return Math.round(seconds * 10) / 10.0;
     }
 
@@ -587,101 +589,10 @@
         }
     }
 
-    private void advance(Placement p, TaskReport t, double now) {
-        Placement.State next = switch (t.phase()) {
-            case FETCHING -> Placement.State.FETCHING;
-            case WAITING -> Placement.State.WAITING;
-            case RUNNING -> Placement.State.RUNNING;
-            case SAVING -> Placement.State.SAVING;
-            case EXITED -> Placement.State.EXITED;
-        };
-        boolean ran = !Double.isNaN(p.runningSince);
-        if (!p.to(next, t.exit(), now)) {
-            return;
-        }
-        if (next != Placement.State.FETCHING && next != Placement.State.EXITED || t.exit() == ExitReason.DONE) {
-            if (p.machine.usedImage(p.job.image, p.job.spec.imageGb(), this::gbOf)) {
-                cached.changed(p.machine);
-            }
-        }
-        if (!ran && !Double.isNaN(p.runningSince)) {
-            p.job.running++;
-            p.job.gangRan = true;
-            effects.happened(p.job, new Happening.Running(p.task, p.machine.name));
-            LOG.debug("{} {} task {}/{} runs on {} {} s after it was accepted, {} s after its start", p.job.spec.jobClass(), p.job.spec.kind(),
-                    p.job.spec.id(), p.task, p.machine.name, round(now - p.job.acceptedAt), round(now - p.sentAt));
-        }
-        if (next == Placement.State.EXITED) {
-            exited(p, t, now);
-        }
-    }
-
-    private void exited(Placement p, TaskReport t, double now) {
-        Job job = p.job;
-        LOG.debug("task {}/{} attempt {} on {} exited: {}", job.spec.id(), p.task, p.attempt, p.machine.name, t.exit());
-        if (t.exit() == ExitReason.DONE && job.active()) {
-            if (job.spec.kind() == JobKind.GANG) {
-                // A gang completes together.
-                job.done.set(0, job.spec.tasks());
-                job.pending.clear();
-            }
-            job.done.set(p.task);
-            job.pending.clear(p.task);
-            if (job.doneCount() < job.spec.tasks()) {
-                progress.changed(job, p.task);
-            }
-        }
-        boolean ran = p.counted && !Double.isNaN(p.runningSince);
-        uncount(p, now);
-        if (t.exit() == ExitReason.DONE) {
-            effects.happened(job, new Happening.Progressed(p.task, p.machine.name));
-        } else if (ran) {
-            effects.happened(job, new Happening.Stopped(p.task, p.machine.name, switch (t.exit()) {
-                case ERROR -> Happening.Cause.FAILED;
-                case PEERS, ALONE -> Happening.Cause.GANG;
-                default -> Happening.Cause.STOPPED;
-            }));
-        }
-        switch (t.exit()) {
-            case ERROR -> failed(p, now);
-            case NO_ROOM, BUSY, UNKNOWN, ALONE -> {
-                job.retryAt = Math.max(job.retryAt, now + (t.exit() == ExitReason.UNKNOWN ? 2.0 : 0.5));
-                if (t.exit() != ExitReason.ALONE) {
-                    LOG.info("machine {} refused {}/{}: {}", p.machine.name, job.spec.id(), p.task, t.exit());
-                }
-            }
-            default -> { }
-        }
-        if (job.spec.kind() == JobKind.GANG && job.active() && t.exit() != ExitReason.DONE && !job.at.isEmpty()) {
-            // The attempt is broken; all of it must be gone before the next one.
-            for (Placement other : new ArrayList<>(job.at.values())) {
-                if (!other.stopping()) {
-                    stop(other, job.gangRan ? job.spec.saveS() : 0, now);
-                }
-            }
-        }
-        if (job.active() && job.doneCount() == job.spec.tasks()) {
-            job.to(Job.State.FINISHING);
-            finishing.add(job);
-        }
-    }
-
-    /** A task ended with an error: mostly the machine's fault, unless the job fails wherever it goes. */
-    private void failed(Placement p, double now) {
-        Job job = p.job;
-        Machine m = p.machine;
-        job.errors++;
-        if (!m.failedJobs.contains(job)) {
-            job.errorMachines++;
-            m.failedJobs.add(job);
-        }
-        job.retryAt = now + Math.min(60, 0.5 * Math.pow(2, Math.min(job.errors, 8)));
-        LOG.info("task {}/{} failed on {} ({} errors of the job)", job.spec.id(), p.task, m.name, job.errors);
-        long blamed = m.failedJobs.stream().filter(j -> !j.suspect()).count();
-        if (blamed >= 2 && m.state() == Machine.State.UP) {
-            LOG.warn("machine {} failed {} different jobs, it is drained and returned", m.name, blamed);
-            drain(m, now);
-        }
+    /** All its tasks are done: its end is to be stored. */
+    void finishing(Job job) {
+        job.to(Job.State.FINISHING);
+        finishing.add(job);
     }
 
     void drain(Machine m, double now) {
@@ -715,7 +626,7 @@
 
     /** Attempts hold the term, so that no two of them are ever the same. */
     long nextAttempt() {
-        return (term << 24) + ++attempts;
+        return (term << 24) + ++lastAttempt;
     }
 
     void stop(Placement p, double grace, double now) {
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -8,22 +8,13 @@
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
 import io.kelphoist.core.Cluster;
-import io.kelphoist.core.Command;
-import io.kelphoist.core.Effects;
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Happening;
 import io.kelphoist.core.Job;
-import io.kelphoist.core.JobRecord;
-import io.kelphoist.core.JobSpec;
-import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
-import io.kelphoist.core.Placement;
-import io.kelphoist.core.Rental;
-import io.kelphoist.core.TaskProgress;
 import io.kelphoist.peer.PeerCalls;
 import io.kelphoist.sockets.SocketBudget;
-import io.kelphoist.standby.TakeOver;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.StateClient;
@@ -42,7 +33,6 @@
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,7 +40,7 @@
 import org.xnio.XnioIoThread;
 
 /** One controller: the event loop's side of everything. All of it runs on one I/O thread. */
-public final class Controller implements Effects, Leadership.Listener {
+public final class Controller implements Leadership.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final double TICK_S = 0.2;
     private static final double SOON_S = 0.015;
@@ -61,14 +51,9 @@
     private static final int STATE_CONNECTIONS = 6;
     /** Of the leader's key, four kinds of record, and the jobs for gRPC. */
     private static final int WATCH_CONNECTIONS = 6;
-    /** Questions to machines at a time in a take-over: a part of the connections for orders, and no more than are soon answered. */
-    private static final int QUESTION_PART = 2;
-    private static final int MOST_QUESTIONS = 128;
     /** What was sent may take so long to be answered when this controller stops; and so long its last word. */
     private static final double SETTLE_S = 1.0;
     private static final double FAREWELL_S = 0.3;
-    /** Reports come every so often, give or take a quarter. */
-    private static final double REPORT_ROUND = 1.25;
 
     /** Counts for the metrics, by what happened. */
     final Counters counters = new Counters();
@@ -91,18 +76,16 @@
     /** Null: jobs are not traced. */
     private Tracing tracing;
 
-    private Cluster cluster;
-    private Store store;
+    /** The term that is led here; null: none is, or the machine types are not known yet. */
+    private Term term;
     private final Followed followed;
     private final Standby standby;
-    private final int mostQuestions;
-    private boolean loaded;
+    private final Term.Around around;
     /** It decides nothing more. */
     private boolean leaving;
     private boolean tickSoon;
     private double nextDecision;
     private double newsAt;
-    private double ledSince;
     private double loadAt;
     private final JobCounts counts = new JobCounts();
     private final Caretaking caretaking;
@@ -135,9 +118,8 @@
         standby = new Standby(operator.standby(), loop);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
         cloud = new CloudSide(new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage),
-                state, loop, settings.cloudLimits().rps(), () -> cluster, types -> ifStored(s -> s.types(types)), this::soon);
+                state, loop, settings.cloudLimits().rps(), this::cluster, types -> term.store().types(types), this::soon);
         SocketBudget sockets = new SocketBudget(settings.sockets());
-        mostQuestions = Math.max(1, Math.min(MOST_QUESTIONS, sockets.orderLines() / QUESTION_PART));
         workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1), sockets.orderLines());
         connections = new WorkerConnections(sockets, settings.workers().leaseS());
         Map<String, HttpCaller> callers = new HashMap<>();
@@ -148,6 +130,8 @@
         caretaking = new Caretaking(settings, operator.caretaking(), startedAt);
         reports = new Reports(leadership, peers, loop, counters,
                 new Routes(settings.peerZones(), settings.workers().leaseS()), caretaking, connections, this::lead);
+        around = new Term.Around(settings, operator, loop, state, committer, cloud, workers, followed, standby, caretaking, counters, this::soon,
+                this::happened);
         admission = new Admission(state, committer::submit, loop, System::currentTimeMillis, new Admission.Knowledge() {
             @Override
             public Collection<MachineType> types() {
@@ -202,24 +186,23 @@
         double now = loop.now();
         leadership.tick();
         Election election = leadership.election();
-        if (election.state() == Election.State.LEADER && cluster != null && loaded && election.mayAct(now)) {
+        if (election.state() == Election.State.LEADER && leads() && election.mayAct(now)) {
             if (leaving) {
                 return;
             }
-            standby.takeOver().run(cluster.machines(), now);
-            cluster.tick(now);
+            term.decide(now);
             counters.decisions++;
             counters.decisionS += loop.now() - now;
             // A decision over a large fleet takes a while, above all in a process that just began: reports go first.
             nextDecision = now + DECISION_SHARE * (loop.now() - now);
-            if (cluster.deposed()) {
+            if (term.cluster().deposed()) {
                 election.resign("a worker has seen a higher term", now);
                 return;
             }
             cloud.ask(now);
-            handOverIfCutOff(now);
-            caretaking.provide(cluster, followed.knownUntil(), now);
-            caretaking.note(store, System.currentTimeMillis(), now);
+            term.handOverIfCutOff(now);
+            caretaking.provide(term.cluster(), followed.knownUntil(), now);
+            caretaking.note(term.store(), System.currentTimeMillis(), now);
             tellLoad(now);
         }
         workers.sweep(now);
@@ -240,24 +223,22 @@
     // ---- leadership ----
 
     @Override
-    public void began(long term, long termVersion) {
-        MDC.put("term", Long.toString(term));
-        LOG.info("term {} begins here", term);
-        ledSince = loop.now();
-        loaded = false;
+    public void began(long number, long version) {
+        MDC.put("term", Long.toString(number));
+        LOG.info("term {} begins here", number);
         if (following != null) {
-            following.began(term);
+            following.began(number);
         }
         if (tracing != null) {
-            tracing.began(term);
+            tracing.began(number);
         }
-        begin(term, termVersion);
+        begin(number, version);
     }
 
     /** Without machine types nothing can be understood; the first leader ever has to ask for them. */
-    private void begin(long term, long termVersion) {
+    private void begin(long number, long version) {
         Election election = leadership.election();
-        if (election.state() != Election.State.LEADER || election.term() != term) {
+        if (election.state() != Election.State.LEADER || election.term() != number) {
             return;
         }
         if (cloud.types().isEmpty()) {
@@ -266,68 +247,26 @@
                 if (absent) {
                     cloud.fetchTypes();
                 }
-                loop.after(0.2, () -> begin(term, termVersion));
+                loop.after(0.2, () -> begin(number, version));
             });
             return;
         }
-        store = new Store(state, committer, loop, System::currentTimeMillis, (int) (settings.stateLimits().valueKb() * 1024), termVersion,
-                () -> election.resign("the term has moved on", loop.now()), this::soon);
-        TakeOver takeOver = new TakeOver(term, REPORT_ROUND * settings.workers().reportS(), settings.cloudLimits().listLagS(), mostQuestions, this::ask,
-                loop.now());
-        cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), takeOver, term, cloud.types(), loop.now());
-        standby.began(takeOver);
-        prove(cluster, termVersion);
-    }
-
-    /** What was followed is proved to be current, or read, and taken in. */
-    private void prove(Cluster loading, long termVersion) {
-        followed.prove(records -> {
-            if (cluster != loading) {
-                return;
-            }
-            if (!standby.takeOver().read(records.oldest(), termVersion, loop.now())) {
-                followed.follow();
-                prove(loading, termVersion);
-                return;
-            }
-            store.load(loading, records, (peer, baseMs) -> caretaking.recorded(peer, baseMs, System.currentTimeMillis(), loop.now()));
-            standby.hint(loading);
-            followed.lead(store);
-            loaded = true;
-            store.types(cloud.types());
-            LOG.info("term {}: {} machines and {} jobs known after {} ms", loading.term(), loading.machines().size(), loading.jobs().size(),
-                    Math.round((loop.now() - ledSince) * 1000));
-            tick();
-        });
-    }
-
-    /** Asks a machine for a report, under the token of this term: from then on it refuses whatever an earlier leader sent. */
-    private void ask(Machine machine, long session) {
-        Cluster asking = cluster;
-        TakeOver by = standby.takeOver();
-        counters.questions++;
-        workers.orders(machine.address(), leadership.election().term(), Math.max(1, session), List.of(), loop.now(), (outcome, report) -> {
-            if (cluster == asking) {
-                asking.onAsked(machine.name, outcome, report, loop.now());
-                by.answered(machine.name, outcome, report);
-                soon();
-            }
-        });
+        term = new Term(number, version, election, around);
+    }
+
+    /** A term is led here and the records are taken in. */
+    private boolean leads() {
+        return term != null && term.loaded();
     }
 
     @Override
     public void ended() {
         LOG.info("the term ends here");
         MDC.remove("term");
-        if (store != null) {
-            store.close();
+        if (term != null) {
+            term.end();
+            term = null;
         }
-        standby.ended(cluster);
-        store = null;
-        cluster = null;
-        loaded = false;
-        followed.follow();
-        caretaking.ended();
         if (following != null) {
             following.ended();
         }
@@ -340,19 +279,19 @@
     public ObjectNode news() {
         ObjectNode m = Cbor.map();
         double now = loop.now();
-        if (cluster != null && loaded && now >= newsAt) {
+        if (leads() && now >= newsAt) {
             // The next peer asked in the same round gets it too.
             loop.after(0.05, () -> newsAt = loop.now() + NEWS_EVERY_S);
-            counts.count(cluster, m);
+            counts.count(term.cluster(), m);
         }
         return m;
     }
 
     @Override
     public void asking(String peer, ObjectNode request) {
-        if (loaded) {
-            standby.ask(peer, request, cluster);
-            caretaking.ask(peer, request, cluster, followed.knownUntil(), loop.now());
+        if (leads()) {
+            standby.ask(peer, request, term.cluster());
+            caretaking.ask(peer, request, term.cluster(), followed.knownUntil(), loop.now());
         }
     }
 
@@ -389,12 +328,12 @@
     }
 
     private void leave(double until, Runnable left) {
-        boolean settled = cluster == null || !cluster.ordersOpen() && committer.waiting() == 0;
+        boolean settled = term == null || !term.cluster().ordersOpen() && committer.waiting() == 0;
         if (!settled && loop.now() < until) {
             loop.after(TICK_S / 4, () -> leave(until, left));
             return;
         }
-        boolean led = cluster != null;
+        boolean led = term != null;
         leadership.election().resign("it stops", loop.now());
         loop.after(led ? FAREWELL_S : 0, left);
     }
@@ -405,23 +344,6 @@
         caretaking.answered(peer, answer, sentAt, loop.now());
     }
 
-    /** A leader that no worker reaches, while there are some, lets another lead. */
-    private void handOverIfCutOff(double now) {
-        double quiet = 2.5 * settings.workers().reportS();
-        if (now - ledSince < quiet + settings.workers().leaseS() || peers == null || settings.peers().isEmpty()) {
-            return;
-        }
-        int up = 0;
-        for (Machine m : cluster.machines()) {
-            if (m.state() == Machine.State.UP || m.state() == Machine.State.DRAINING) {
-                up++;
-            }
-        }
-        if (up >= 3 && now - counters.directReportAt > quiet) {
-            leadership.election().resign("no worker reaches this controller", now);
-        }
-    }
-
     // ---- reports ----
 
     Reports reports() {
@@ -430,19 +352,14 @@
 
     /** The answer to a report, if this controller may give one. */
     private ObjectNode lead(MachineReport report) {
-        double now = loop.now();
         Election election = leadership.election();
-        if (!election.mayAct(now)) {
+        if (!election.mayAct(loop.now())) {
             return null;
         }
-        if (!loaded) {
-            // Its lease is kept; what it says is taken in once the records are read.
+        if (term == null) {
             return report.token() > election.term() ? null : Codec.answer(election.term(), List.of());
         }
-        List<Command> commands = cluster.onReport(report, now);
-        counters.reportS += loop.now() - now;
-        soon();
-        return commands == null ? null : Codec.answer(election.term(), commands);
+        return term.answer(report);
     }
 
     // ---- peers ----
@@ -459,7 +376,7 @@
         leadership.heard(m);
         leadership.heardLeader(m.path("from").asText());
         boolean granted = m.path("term").isIntegralNumber() && leadership.election().grant(m.path("term").asLong(), loop.now());
-        if (cluster == null) {
+        if (term == null) {
             counts.take(m);
         }
         ObjectNode answer = Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0);
@@ -487,8 +404,8 @@
     void following(Following made) {
         following = made;
         following.begin();
-        if (cluster != null) {
-            following.began(cluster.term());
+        if (term != null) {
+            following.began(term.cluster().term());
         }
     }
 
@@ -521,7 +438,7 @@
     }
 
     Cluster cluster() {
-        return cluster;
+        return term == null ? null : term.cluster();
     }
 
     Election election() {
@@ -557,87 +474,12 @@
         return committer.waiting();
     }
 
-    // ---- effects ----
-
-    private boolean mayAct() {
-        return leadership.election().mayAct(loop.now());
-    }
-
-    @Override
-    public void orders(Machine machine, long session, List<Command> commands) {
-        Cluster asking = cluster;
-        if (!mayAct() || machine.address() == null) {
-            loop.after(0, () -> ordersEnded(asking, machine.name, Cluster.OrderOutcome.NOT_TRIED, null));
-            return;
-        }
-        counters.orders++;
-        workers.orders(machine.address(), leadership.election().term(), session, commands, loop.now(),
-                (outcome, report) -> ordersEnded(asking, machine.name, outcome, report));
-    }
-
-    private void ordersEnded(Cluster asking, String machine, Cluster.OrderOutcome outcome, MachineReport report) {
-        if (cluster == asking && asking != null) {
-            asking.onOrders(machine, outcome, report, loop.now());
-            if (outcome == Cluster.OrderOutcome.UNANSWERED) {
-                counters.unanswered++;
-            }
-            soon();
-        }
-    }
-
-    private void ifStored(Consumer<Store> what) {
-        if (store != null) {
-            what.accept(store);
-        }
-    }
-
-    @Override
-    public void happened(Job job, Happening what) {
+    private void happened(Job job, Happening what) {
         if (tracing != null) {
             tracing.happened(job, what);
         }
-        if (following != null && cluster != null) {
-            following.happened(job, what, cluster.recovered(), System.currentTimeMillis());
+        if (following != null && term != null) {
+            following.happened(job, what, term.cluster().recovered(), System.currentTimeMillis());
         }
     }
-
-    @Override
-    public void storeProgress(int page, List<TaskProgress> progress) {
-        ifStored(s -> s.progress(page, progress));
-    }
-
-    @Override
-    public void storeDone(JobSpec job, long version) {
-        ifStored(s -> s.done(job, version));
-    }
-
-    @Override
-    public void storeCancelled(JobRecord job) {
-        ifStored(s -> s.cancelled(job));
-    }
-
-    @Override
-    public void lookUp(String job) {
-        ifStored(s -> s.lookUp(job));
-    }
-
-    @Override
-    public void storeStarts(int page, List<Placement> starts) {
-        ifStored(s -> s.starts(page, starts));
-    }
-
-    @Override
-    public void storeImages(int page, List<Machine> machines) {
-        ifStored(s -> s.images(page, machines));
-    }
-
-    @Override
-    public void rent(Rental rental) {
-        cloud.rent(rental);
-    }
-
-    @Override
-    public void giveBack(List<String> machines) {
-        cloud.giveBack(machines);
-    }
 }
--- a/src/main/java/io/kelphoist/daemon/Standby.java
+++ b/src/main/java/io/kelphoist/daemon/Standby.java
@@ -53,10 +53,6 @@
         telling = null;
     }
 
-    TakeOver takeOver() {
-        return takeOver;
-    }
-
     /** What an earlier leader told, once the records are taken in. */
     void hint(Cluster cluster) {
         if (!on) {
--- a/src/main/java/io/kelphoist/standby/TakeOver.java
+++ b/src/main/java/io/kelphoist/standby/TakeOver.java
@@ -10,7 +10,6 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -99,7 +98,7 @@
 
     private void pass(Check check, String with, double now) {
         if (passed.putIfAbsent(check, now) == null) {
-            LOG.info("term {}: {} holds after {} s{}", term, check, String.format(Locale.ROOT, "%.2f", now - startedAt), with);
+            LOG.info("term {}: {} holds after {} s{}", term, check, seconds(now - startedAt), with);
         }
     }
 
@@ -184,12 +183,17 @@
         if (over || open == 0 && (known || !foundStarts)) {
             long silent = machines.stream().filter(m -> m.unheard() && m.mayRunSomething()).count();
             pass(Check.MACHINES, ", " + silent + " count until they answer or their lease is over", now);
-            LOG.info("term {}: take-over complete after {} s, {} machines ({} silent){}", term, String.format(Locale.ROOT, "%.2f", now - startedAt),
+            LOG.info("term {}: take-over complete after {} s, {} machines ({} silent){}", term, seconds(now - startedAt),
                     machines.size(), silent, warm ? ", warm" : "");
             to(State.LEADING);
         }
     }
 
+    /** Not by a format: the first of those costs a start a tenth of its time. */
+    private static double seconds(double exactly) {
+        return Math.round(exactly * 100) / 100.0;
+    }
+
     /** First services and gangs, as what is lost with them is missed most, and where an order is open. */
     private static int rank(Machine m) {
         return m.runsTogether() || m.toldOpen() ? 0 : m.mayRunSomething() ? 1 : 2;
