--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -401,7 +401,7 @@
         }
         double sentAt = now;
         List<Command> commands = to.cluster.onReport(w.report(), now);
-        if (commands != null && random.nextInt(12) > 0 && w.obey(to.term, commands)) {
+        if (commands != null && random.nextInt(3) > 0 && w.obey(to.term, commands)) {
             w.leaseFrom = Math.max(w.leaseFrom, sentAt);
         }
     }
