Standby: what was told is used once, and only while it is fresh

Cause: a controller that led, lost its term and led again kept the picture of a leader long before, and would have taken it for complete. Change: what was told is forgotten once a term began with it; told more than 10 s ago it hints whom to ask, but is no reason to rent.

--- a/src/main/java/io/kelphoist/daemon/Standby.java
+++ b/src/main/java/io/kelphoist/daemon/Standby.java
@@ -18,6 +18,9 @@
     /** Followers are told so often, in seconds: with every other request for a grant. */
     private static final double TELL_EVERY_S = 0.7;
 
+    /** What a leader told longer ago than an election takes is no reason not to look what there is. */
+    private static final double FRESH_S = 10;
+
     private final boolean on;
     private final StateClient.Loop loop;
     private final Picture picture = new Picture();
@@ -60,9 +63,10 @@
         }
         double at = loop.now();
         picture.machines().forEach(m -> cluster.onTold(m, at));
-        if (picture.whole()) {
+        if (picture.whole() && picture.behindS(at) < FRESH_S) {
             takeOver.told(at);
         }
+        picture.forget();
     }
 
     /** Adds to a request for a grant. */
--- a/src/main/java/io/kelphoist/standby/Picture.java
+++ b/src/main/java/io/kelphoist/standby/Picture.java
@@ -112,6 +112,12 @@
         have = 0;
     }
 
+    /** It was used: this controller leads now, and knows better from here on. */
+    public void forget() {
+        clear();
+        to(State.COLD);
+    }
+
     /** How far this is; 0: it has nothing. */
     public long have(long ofTerm) {
         return ofTerm == term ? have : 0;
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -138,6 +138,12 @@
         assertTrue(picture.whole());
         picture.take(6, new Telling().next("f", 0), messages + 11);
         assertEquals(0, picture.size());
+        // Used by a leader, it is not used again by a later term of the same controller.
+        picture.take(6, telling.next("g", 0), messages + 12);
+        picture.forget();
+        assertEquals(Picture.State.COLD, picture.state(messages + 12));
+        assertEquals(0, picture.size());
+        assertFalse(picture.whole());
     }
 
     /** More go than are remembered: a follower that is behind all of them begins anew instead of keeping what is gone. */
