--- a/src/main/java/io/kelphoist/daemon/Followed.java
+++ b/src/main/java/io/kelphoist/daemon/Followed.java
@@ -1,6 +1,7 @@
 package io.kelphoist.daemon;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.kelphoist.core.JobRecord;
 import io.kelphoist.standby.Mirror;
 import io.kelphoist.standby.Mirror.Part;
 import io.kelphoist.state.Keys;
@@ -79,9 +80,10 @@
         try {
             switch (part) {
                 case JOBS -> {
-                    mirror.job(Records.job(key, value, version));
+                    JobRecord job = Records.job(key, value, version);
+                    mirror.job(job, loop.now());
                     if (leading != null) {
-                        leading.job(Records.job(key, value, version));
+                        leading.job(job);
                     }
                 }
                 case PROGRESS -> mirror.progress(Keys.page(Keys.PROGRESS, key), Records.progress(value), version);
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -4,6 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kelphoist.core.JobKind;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.Priority;
+import io.kelphoist.core.Resources;
 import io.kelphoist.core.ToldMachine;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -164,6 +170,32 @@
         assertEquals(2, picture.size());
     }
 
+    private static JobRecord job(int number, JobStatus status, long version) {
+        JobSpec spec = new JobSpec("job-" + number, "c", "t", JobKind.ARRAY, Priority.NORMAL, 1, Resources.NONE, null, null, false, false, false, "i", 1, 1,
+                0, 0, null, List.of());
+        return new JobRecord(spec.id(), status == JobStatus.DONE ? null : spec, status, 0, version);
+    }
+
+    /** Jobs end for ever: what is kept of them is bounded, but nothing goes of which tasks may still be somewhere. */
+    @Test
+    void memoryDoesNotGrowWithWhatEnded() {
+        Mirror mirror = new Mirror();
+        for (int i = 0; i < 3 * Mirror.MOST_DONE; i++) {
+            mirror.job(job(i, JobStatus.ACTIVE, 2 * i), i * 0.01);
+            mirror.job(job(i, i % 2 == 0 ? JobStatus.DONE : JobStatus.CANCELLED, 2 * i + 1), i * 0.01);
+        }
+        mirror.job(job(-1, JobStatus.ACTIVE, 1), 600);
+        // What is older than what is known comes late, and means nothing.
+        mirror.job(job(3 * Mirror.MOST_DONE - 1, JobStatus.ACTIVE, 1), 600);
+        assertEquals(1, mirror.unfinished());
+        // All of the cancelled ones within the last minutes, and of the done ones the last.
+        assertEquals(1 + Mirror.MOST_DONE + 3 * Mirror.MOST_DONE / 2, mirror.jobs().size());
+        for (int i = 0; i < 2 * Mirror.MOST_DONE; i++) {
+            mirror.job(job(1_000_000 + i, JobStatus.CANCELLED, 1_000_000 + i), 5000 + i);
+        }
+        assertEquals(1 + Mirror.MOST_DONE + Mirror.MOST_CANCELLED, mirror.jobs().size());
+    }
+
     /** Read at an older moment than the term's, records decide nothing. */
     @Test
     void oldRecordsAreReadAgain() {
