--- a/src/main/java/io/kelphoist/daemon/Term.java
+++ b/src/main/java/io/kelphoist/daemon/Term.java
@@ -63,7 +63,7 @@
                 (int) (around.settings.stateLimits().valueKb() * 1024), version, () -> election.resign("the term has moved on", now()), around.soon);
         int lines = new SocketBudget(around.settings.sockets()).orderLines();
         takeOver = new TakeOver(term, REPORT_ROUND * around.settings.workers().reportS(), around.settings.cloudLimits().listLagS(),
-                Math.max(1, Math.min(MOST_QUESTIONS, lines / QUESTION_PART)), this::ask, beganAt);
+                around.operator.standby() ? Math.max(1, Math.min(MOST_QUESTIONS, lines / QUESTION_PART)) : 0, this::ask, beganAt);
         cluster = new Cluster(around.operator.policy(around.settings), this, around.caretaking.begin(term, beganAt), takeOver, term,
                 around.cloud.types(), beganAt);
         around.standby.began(takeOver);
--- a/src/main/java/io/kelphoist/standby/TakeOver.java
+++ b/src/main/java/io/kelphoist/standby/TakeOver.java
@@ -55,6 +55,7 @@
     private final double startedAt;
     private final double longestS;
     private final double listLagS;
+    /** 0: nobody is asked, the round of reports is waited for. */
     private final int mostUnderWay;
     private final Asker asker;
     private final Map<String, Question> questions = new HashMap<>();
@@ -69,7 +70,8 @@
     /**
      * @param longestS after which machines are not waited for any longer, asked or not: a round of reports of their own
      * @param listLagS how late the cloud's list may usually be
-     * @param mostUnderWay questions without an answer at any time, which is what paces them and the reports that follow
+     * @param mostUnderWay questions without an answer at any time, which is what paces them and the reports that follow; 0: nobody
+     *        is asked, and the round is waited for
      */
     public TakeOver(long term, double longestS, double listLagS, int mostUnderWay, Asker asker, double now) {
         this.term = term;
@@ -180,7 +182,7 @@
             asker.ask(m, Math.max(q.session, m.toldSession()));
         }
         boolean over = now >= startedAt + longestS;
-        if (over || open == 0 && (known || !foundStarts)) {
+        if (over || !foundStarts && mostUnderWay == 0 || open == 0 && mostUnderWay > 0 && (known || !foundStarts)) {
             long silent = machines.stream().filter(m -> m.unheard() && m.mayRunSomething()).count();
             pass(Check.MACHINES, ", " + silent + " count until they answer or their lease is over", now);
             LOG.info("term {}: take-over complete after {} s, {} machines ({} silent){}", term, seconds(now - startedAt),
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -196,6 +196,16 @@
         assertEquals(1 + Mirror.MOST_DONE + Mirror.MOST_CANCELLED, mirror.jobs().size());
     }
 
+    /** Switched off, nobody is asked and the round is waited for, as it always was. */
+    @Test
+    void withoutQuestionsTheRoundIsWaitedFor() {
+        StandbyWorld world = new StandbyWorld(3, 0);
+        world.pass(6, 0);
+        world.takeOver(1);
+        world.pass(6, 0);
+        assertEquals(2.5, world.lastLedAfter(), 0.15);
+    }
+
     /** Read at an older moment than the term's, records decide nothing. */
     @Test
     void oldRecordsAreReadAgain() {
--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -186,7 +186,7 @@
 
         Leader(long term) {
             this.term = term;
-            takeOver = new TakeOver(term, 1.25 * REPORT_S, 1, 2, this::ask, now);
+            takeOver = new TakeOver(term, 1.25 * REPORT_S, 1, questions, this::ask, now);
             Policy policy = new Policy(List.of("a"), List.of(TEAM), REPORT_S, LEASE_S, 3, 5, 1, 20, 15, 0, 1e6, 600, 0.01, 0.01, Map.of());
             cluster = new Cluster(policy, this, OtherAnswers.NONE, takeOver, term, List.of(TYPE), now);
         }
@@ -275,6 +275,7 @@
     }
 
     private final Random random;
+    private final int questions;
     private final List<Worker> workers = new ArrayList<>();
     private final List<Leader> leaders = new ArrayList<>();
     private final List<Order> network = new ArrayList<>();
@@ -292,6 +293,12 @@
     int quick;
 
     StandbyWorld(long seed) {
+        this(seed, 2);
+    }
+
+    /** @param questions that a leader may have open at a time */
+    StandbyWorld(long seed, int questions) {
+        this.questions = questions;
         random = new Random(seed);
         for (int i = 0; i < WORKERS; i++) {
             workers.add(new Worker(i));
@@ -340,6 +347,11 @@
         workers.get(worker % WORKERS).cut = cut;
     }
 
+    /** How long the last leader took to its first decision, in seconds. */
+    double lastLedAfter() {
+        return leaders.get(leaders.size() - 1).ledAfter;
+    }
+
     /** A task ends by itself. */
     void finish(int worker) {
         Worker w = workers.get(worker % WORKERS);
