Tidy: one place for peers' messages, a round of reports, what is told, an answer that only keeps a lease

A second reading found the same written twice: three messages between controllers were each decoded, counted as bad and refused by a copy of their own; the round of reports had a number in Leases and one in Term; what a leader tells was taken in by two copies; an answer that keeps a lease and no more stood in Controller and Term. TakeOver's condition said twice what a round's end decides, and RecordFeed had an accessor that nobody called. Each has one place now (Policy.REPORT_ROUND, Controller.answer, Standby.take, Term.onlyLease). Behaviour is as before, but that a controller which is about to stop still closes unused connections.

--- a/src/main/java/io/kelphoist/core/Leases.java
+++ b/src/main/java/io/kelphoist/core/Leases.java
@@ -10,8 +10,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Leases.class);
     /** Beyond the lease, for the steps in which timers fire. */
     private static final double TIMER_MARGIN_S = 0.25;
-    /** Reports come every {@code reportS}, give or take a quarter; one that is later than this was missed. */
-    static final double REPORT_ROUND = 1.25;
     private static final double LATE_S = 1.5;
 
     /** Decisions come far more often than any of this changes; it looks at every machine. */
@@ -32,7 +30,7 @@
         }
         nextRun = now + EVERY_S;
         for (Machine m : cluster.machines.values()) {
-            m.quiet = m.unreached || now > m.lastReport + REPORT_ROUND * cluster.policy.reportS() + LATE_S;
+            m.quiet = m.unreached || now > m.lastReport + Policy.REPORT_ROUND * cluster.policy.reportS() + LATE_S;
             expire(m, now);
             notice(m, now);
             if (m.holdOver(now)) {
--- a/src/main/java/io/kelphoist/core/Policy.java
+++ b/src/main/java/io/kelphoist/core/Policy.java
@@ -17,4 +17,6 @@
         int recordBytes, double startsEveryS, double progressEveryS, Map<String, Double> startWithinS) {
     /** Clocks of two machines drift apart by no more than this share. */
     public static final double DRIFT = 0.0005;
+    /** Reports come every {@code reportS}, give or take a quarter: one that takes so many times as long was missed. */
+    public static final double REPORT_ROUND = 1.25;
 }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -20,7 +20,6 @@
 import io.kelphoist.state.StateClient;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
-import io.kelphoist.wire.Codec;
 import io.kelphoist.wire.HttpCaller;
 import io.kelphoist.wire.HttpServing;
 import io.kelphoist.worker.WorkerCalls;
@@ -29,10 +28,10 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -186,10 +185,7 @@
         double now = loop.now();
         leadership.tick();
         Election election = leadership.election();
-        if (election.state() == Election.State.LEADER && leads() && election.mayAct(now)) {
-            if (leaving) {
-                return;
-            }
+        if (election.state() == Election.State.LEADER && leads() && !leaving && election.mayAct(now)) {
             term.decide(now);
             counters.decisions++;
             counters.decisionS += loop.now() - now;
@@ -307,15 +303,11 @@
 
     /** Another leader says that it acts no more. */
     public void over(HttpServerExchange exchange, byte[] body) {
-        try {
-            ObjectNode m = Cbor.decodeJson(body);
+        answer(exchange, body, m -> {
             standby.over(m);
             leadership.over(m);
-            HttpServing.json(exchange, 200, Cbor.map());
-        } catch (BadMessage e) {
-            counters.badMessages++;
-            HttpServing.status(exchange, 400);
-        }
+            return Cbor.map();
+        });
     }
 
     /**
@@ -357,7 +349,7 @@
             return null;
         }
         if (term == null) {
-            return report.token() > election.term() ? null : Codec.answer(election.term(), List.of());
+            return Term.onlyLease(report, election.term());
         }
         return term.answer(report);
     }
@@ -365,14 +357,20 @@
     // ---- peers ----
 
     public void grant(HttpServerExchange exchange, byte[] body) {
-        ObjectNode m;
+        answer(exchange, body, this::granted);
+    }
+
+    /** Another controller's message, if it can be understood. */
+    private void answer(HttpServerExchange exchange, byte[] body, Function<ObjectNode, ObjectNode> to) {
         try {
-            m = Cbor.decodeJson(body);
+            HttpServing.json(exchange, 200, to.apply(Cbor.decodeJson(body)));
         } catch (BadMessage e) {
             counters.badMessages++;
             HttpServing.status(exchange, 400);
-            return;
         }
+    }
+
+    private ObjectNode granted(ObjectNode m) {
         leadership.heard(m);
         leadership.heardLeader(m.path("from").asText());
         boolean granted = m.path("term").isIntegralNumber() && leadership.election().grant(m.path("term").asLong(), loop.now());
@@ -382,7 +380,7 @@
         ObjectNode answer = Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0);
         standby.asked(m, m.path("term").asLong(), answer);
         caretaking.asked(m, m.path("term").asLong(), answer, loop.now());
-        HttpServing.json(exchange, 200, answer);
+        return answer;
     }
 
     /** Traces jobs from here on. */
@@ -410,13 +408,7 @@
     }
 
     public void events(HttpServerExchange exchange, byte[] body) {
-        try {
-            ObjectNode request = Cbor.decodeJson(body);
-            HttpServing.json(exchange, 200, following == null ? Cbor.map() : following.answer(request));
-        } catch (BadMessage e) {
-            counters.badMessages++;
-            HttpServing.status(exchange, 400);
-        }
+        answer(exchange, body, request -> following == null ? Cbor.map() : following.answer(request));
     }
 
     Following following() {
--- a/src/main/java/io/kelphoist/daemon/Standby.java
+++ b/src/main/java/io/kelphoist/daemon/Standby.java
@@ -106,19 +106,24 @@
 
     /** Another leader handed over. */
     void over(JsonNode message) {
+        take(message, message.path("term").asLong());
+    }
+
+    /** False: nothing was told. */
+    private boolean take(JsonNode message, long term) {
         Telling.Message m = FollowCodec.message(message.path(FollowCodec.FIELD));
-        if (on && m != null) {
-            picture.take(message.path("term").asLong(), m, loop.now());
+        if (!on || m == null) {
+            return false;
         }
+        picture.take(term, m, loop.now());
+        return true;
     }
 
     // ---- as a follower ----
 
     /** A leader asks for a grant; adds to the answer how far this controller is. */
     void asked(JsonNode request, long term, ObjectNode answer) {
-        Telling.Message m = FollowCodec.message(request.path(FollowCodec.FIELD));
-        if (on && m != null) {
-            picture.take(term, m, loop.now());
+        if (take(request, term)) {
             answer.set(FollowCodec.FIELD, FollowCodec.word(picture.have(term), picture.astray()));
         }
     }
--- a/src/main/java/io/kelphoist/daemon/Term.java
+++ b/src/main/java/io/kelphoist/daemon/Term.java
@@ -14,6 +14,7 @@
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.Placement;
+import io.kelphoist.core.Policy;
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.TaskProgress;
 import io.kelphoist.sockets.SocketBudget;
@@ -38,8 +39,6 @@
     /** Questions to machines at a time in a take-over: a part of the connections for orders, and no more than are soon answered. */
     private static final int QUESTION_PART = 2;
     private static final int MOST_QUESTIONS = 128;
-    /** Reports come every so often, give or take a quarter. */
-    private static final double REPORT_ROUND = 1.25;
 
     private final Around around;
     private final Election election;
@@ -62,7 +61,7 @@
         store = new Store(around.state, around.committer, around.loop, System::currentTimeMillis,
                 (int) (around.settings.stateLimits().valueKb() * 1024), version, () -> election.resign("the term has moved on", now()), around.soon);
         int lines = new SocketBudget(around.settings.sockets()).orderLines();
-        takeOver = new TakeOver(term, REPORT_ROUND * around.settings.workers().reportS(), around.settings.cloudLimits().listLagS(),
+        takeOver = new TakeOver(term, Policy.REPORT_ROUND * around.settings.workers().reportS(), around.settings.cloudLimits().listLagS(),
                 around.operator.standby() ? Math.max(1, Math.min(MOST_QUESTIONS, lines / QUESTION_PART)) : 0, this::ask, beganAt);
         cluster = new Cluster(around.operator.policy(around.settings), this, around.caretaking.begin(term, beganAt), takeOver, term,
                 around.cloud.types(), beganAt);
@@ -114,11 +113,15 @@
         cluster.tick(now);
     }
 
+    /** Its lease is kept; what it says is taken in once the records are. */
+    static ObjectNode onlyLease(MachineReport report, long term) {
+        return report.token() > term ? null : Codec.answer(term, List.of());
+    }
+
     /** The answer to a report; null: it must not be accepted. */
     ObjectNode answer(MachineReport report) {
         if (!loaded) {
-            // Its lease is kept; what it says is taken in once the records are.
-            return report.token() > term ? null : Codec.answer(term, List.of());
+            return onlyLease(report, term);
         }
         double from = now();
         List<Command> commands = cluster.onReport(report, from);
--- a/src/main/java/io/kelphoist/standby/TakeOver.java
+++ b/src/main/java/io/kelphoist/standby/TakeOver.java
@@ -143,7 +143,8 @@
     /** What an earlier leader rented last is on no list yet: it is not rented again, for so long. Without any sign of one there is none. */
     @Override
     public boolean mayRent(double now) {
-        if (!passed.containsKey(Check.LIST) && (state == State.LEADING && !foundStarts || now >= startedAt + longestS || known && now >= startedAt + Math.min(listLagS, longestS))) {
+        boolean nothingBefore = state == State.LEADING && !foundStarts;
+        if (nothingBefore || now >= startedAt + (known ? Math.min(listLagS, longestS) : longestS)) {
             pass(Check.LIST, "", now);
         }
         return passed.containsKey(Check.LIST);
@@ -181,8 +182,9 @@
             q.tries++;
             asker.ask(m, Math.max(q.session, m.toldSession()));
         }
-        boolean over = now >= startedAt + longestS;
-        if (over || !foundStarts && mostUnderWay == 0 || open == 0 && mostUnderWay > 0 && (known || !foundStarts)) {
+        boolean asks = mostUnderWay > 0;
+        boolean settled = foundStarts ? asks && known && open == 0 : !asks || open == 0;
+        if (settled || now >= startedAt + longestS) {
             long silent = machines.stream().filter(m -> m.unheard() && m.mayRunSomething()).count();
             pass(Check.MACHINES, ", " + silent + " count until they answer or their lease is over", now);
             LOG.info("term {}: take-over complete after {} s, {} machines ({} silent){}", term, seconds(now - startedAt),
--- a/src/main/java/io/kelphoist/state/RecordFeed.java
+++ b/src/main/java/io/kelphoist/state/RecordFeed.java
@@ -32,6 +32,7 @@
     private double paceS;
     /** Raised to leave what is under way to itself. */
     private long life;
+    /** Up to which revision it is known what is stored; negative: it is not. */
     private long position = -1;
     /** Raised whenever the position is forgotten: what was asked before does not go on from the new one. */
     private long epoch;
@@ -48,11 +49,6 @@
         this.reader = reader;
     }
 
-    /** Up to which revision it is known what is stored; negative: it is not. */
-    public long position() {
-        return position;
-    }
-
     /**
      * Follows from now on, from where it stands.
      *
