--- a/src/main/java/io/kelphoist/config/OperatorSettings.java
+++ b/src/main/java/io/kelphoist/config/OperatorSettings.java
@@ -15,16 +15,16 @@
  * @param traceTo a collector of OTLP over HTTP, or empty: the log; null: no traces
  */
 public record OperatorSettings(int leaderLeaseMs, int grantMs, double offerS, double localityWaitS, double machineHoldS,
-                               double gangHoldS, double headroom, double idleS, boolean caretaking, GrpcSettings grpc, String traceTo) {
+                               double gangHoldS, double headroom, double idleS, boolean caretaking, boolean standby, GrpcSettings grpc, String traceTo) {
     /** Kept free in each value at the state service. */
     private static final int SPARE_BYTES = 128;
     /** Shares of the state service's limit of changes: for starts, which wait for them, and for done tasks. */
     private static final double STARTS_SHARE = 1 / 3.0;
     private static final double PROGRESS_SHARE = 1 / 15.0;
-    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40, false, null, null);
+    public static final OperatorSettings DEFAULT = new OperatorSettings(3000, 1500, 5, 3, 20, 15, 0.05, 40, false, false, null, null);
 
     /** Parts that can be switched on without a file, since reading one takes a third of the time to start. */
-    public static final List<String> PARTS = List.of("caretaking");
+    public static final List<String> PARTS = List.of("caretaking", "standby");
 
     /** The same with these parts on; a name that is none of {@link #PARTS} is refused. */
     public OperatorSettings with(List<String> parts) throws Settings.Invalid {
@@ -34,13 +34,13 @@
             }
         }
         return new OperatorSettings(leaderLeaseMs, grantMs, offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS,
-                caretaking || parts.contains("caretaking"), grpc, traceTo);
+                caretaking || parts.contains("caretaking"), standby || parts.contains("standby"), grpc, traceTo);
     }
 
     /** The same, serving gRPC. */
     public OperatorSettings with(GrpcSettings served) {
-        return new OperatorSettings(leaderLeaseMs, grantMs, offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS, caretaking, served,
-                traceTo);
+        return new OperatorSettings(leaderLeaseMs, grantMs, offerS, localityWaitS, machineHoldS, gangHoldS, headroom, idleS, caretaking, standby,
+                served, traceTo);
     }
 
     /** Unknown fields are ignored; wrong ones are named. */
@@ -59,7 +59,7 @@
                 (int) range(f, "grant_ms", o.getGrantMs(), 500, 60_000),
                 range(f, "offer_s", o.getOfferS(), 0.1, 600), range(f, "locality_wait_s", o.getLocalityWaitS(), 1, 5),
                 range(f, "machine_hold_s", o.getMachineHoldS(), 0, 600), range(f, "gang_hold_s", o.getGangHoldS(), 0, 600),
-                range(f, "headroom", o.getHeadroom(), 0, 10), range(f, "idle_s", o.getIdleS(), 0, 3600), o.getCaretaking(),
+                range(f, "headroom", o.getHeadroom(), 0, 10), range(f, "idle_s", o.getIdleS(), 0, 3600), o.getCaretaking(), o.getStandby(),
                 o.hasGrpc() ? GrpcSettings.of(file, o.getGrpc()) : null, o.hasTrace() ? collector(f, o.getTrace().getOtlp()) : null);
     }
 
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -376,18 +376,29 @@
         return m;
     }
 
+    /** What followers are told: machines that are or are about to be up, not those that go. */
+    public List<ToldMachine> toTell() {
+        List<ToldMachine> all = new ArrayList<>(machines.size());
+        for (Machine m : machines.values()) {
+            if (m.state().reports() || m.unheard() || m.state() == Machine.State.BOOTING) {
+                all.add(m.toTell(zones.name(m.zone)));
+            }
+        }
+        return all;
+    }
+
     /** An earlier leader told of a machine: whom to ask, nothing more. It counts as heard of now, as nobody knows better. */
     public void onTold(ToldMachine told, double now) {
         MachineType t = types.get(told.type());
         Machine m = machines.get(told.name());
         if (m == null && t != null && !gone.containsKey(told.name())) {
             m = new Machine(told.name(), told.address(), t, zones.of(told.zone()), told.spot(),
-                    told.up() ? Machine.State.JOINING : Machine.State.BOOTING, now - told.ageS());
+                    told.up() ? Machine.State.JOINING : Machine.State.BOOTING, told.rentedAt());
             m.joined(now);
             add(m);
         }
         if (m != null) {
-            m.told(told, now);
+            m.told(told);
         }
     }
 
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -38,6 +38,8 @@
     long toldSession;
     /** An earlier leader was emptying it. */
     private boolean toldDraining;
+    /** An order of an earlier leader to it had no answer. */
+    private boolean toldOpen;
     long seq;
     /** Sessions up to this one are over, whatever late messages say. */
     long deadSession;
@@ -172,16 +174,15 @@
     }
 
     /** What an earlier leader said of it, as far as nothing better is known. */
-    void told(ToldMachine told, double now) {
+    void told(ToldMachine told) {
         if (address == null) {
             address = told.address();
         }
         toldSession = told.session();
         unreached |= told.quiet() && unheard();
-        toldDraining = told.draining();
-        if (takenAt == Double.POSITIVE_INFINITY) {
-            takenAt = now + told.takenInS();
-        }
+        toldDraining = told.blamed();
+        toldOpen = told.open();
+        takenAt = Math.min(takenAt, told.takenAt());
     }
 
     /** An earlier leader was emptying it, for a reason that is still there: it gets no new work from this one either. */
@@ -198,6 +199,21 @@
         return !placements.isEmpty();
     }
 
+    /** As a leader tells its followers of it. */
+    ToldMachine toTell(String zoneName) {
+        boolean open = ordersInFlight;
+        for (Placement p : placements) {
+            open |= p.dangling;
+        }
+        return new ToldMachine(name, address, type.name(), zoneName, spot, toldSession(), state != State.BOOTING, state == State.DRAINING && !emptying,
+                quiet, open, rentedAt, takenAt);
+    }
+
+    /** An order of an earlier leader may still be on its way here. */
+    public boolean toldOpen() {
+        return toldOpen;
+    }
+
     /** A service or a gang is or may be here. */
     public boolean runsTogether() {
         for (Placement p : placements) {
--- a/src/main/java/io/kelphoist/core/ToldMachine.java
+++ b/src/main/java/io/kelphoist/core/ToldMachine.java
@@ -6,10 +6,16 @@
  * @param address null: not known
  * @param session of its worker; 0: not known
  * @param up its worker has reported; else it was rented and is booting
- * @param draining it got no new work
+ * @param blamed it was being emptied as it is faulty
  * @param quiet it had missed a report
- * @param ageS since it was rented
- * @param takenInS until the cloud takes it; infinite: no notice was given
+ * @param open an order to it had no answer yet
+ * @param rentedAt on the clock of whoever holds this, in seconds
+ * @param takenAt when the cloud takes it, on the same clock; infinite: no notice was given
  */
-public record ToldMachine(String name, String address, String type, String zone, boolean spot, long session, boolean up, boolean draining,
-                          boolean quiet, double ageS, double takenInS) { }
+public record ToldMachine(String name, String address, String type, String zone, boolean spot, long session, boolean up, boolean blamed,
+                          boolean quiet, boolean open, double rentedAt, double takenAt) {
+    /** The same on a clock that is ahead by so much. */
+    public ToldMachine onClock(double ahead) {
+        return new ToldMachine(name, address, type, zone, spot, session, up, blamed, quiet, open, rentedAt + ahead, takenAt + ahead);
+    }
+}
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -55,12 +55,12 @@
     private static final double TICK_S = 0.2;
     private static final double SOON_S = 0.015;
     /** After a decision the loop is left to others for so many times as long. */
-    private static final double DECISION_SHARE = 2;
+    private static final double DECISION_SHARE = 4;
     private static final double LOAD_EVERY_S = 5;
     private static final double NEWS_EVERY_S = 1.0;
     private static final int STATE_CONNECTIONS = 6;
-    /** Watches that nobody waits for any more are held until their time is over. */
-    private static final int WATCH_CONNECTIONS = 12;
+    /** Of the leader's key, four kinds of record, and the jobs for gRPC. */
+    private static final int WATCH_CONNECTIONS = 6;
     /** Questions to machines at a time in a take-over: a part of the connections for orders, and no more than are soon answered. */
     private static final int QUESTION_PART = 2;
     private static final int MOST_QUESTIONS = 128;
@@ -90,9 +90,8 @@
 
     private Cluster cluster;
     private Store store;
-    /** Of the term under way here; null: there is none. */
-    private TakeOver takeOver;
     private final Followed followed;
+    private final Standby standby;
     private final int mostQuestions;
     private boolean loaded;
     private boolean tickSoon;
@@ -128,6 +127,7 @@
         state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, WATCH_CONNECTIONS), loop,
                 settings.stateLimits().rps() * 0.45, this::garbage);
         followed = new Followed(state, loop);
+        standby = new Standby(operator.standby(), loop);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
         cloud = new CloudSide(new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage),
                 state, loop, settings.cloudLimits().rps(), () -> cluster, types -> ifStored(s -> s.types(types)), this::soon);
@@ -198,7 +198,7 @@
         leadership.tick();
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER && cluster != null && loaded && election.mayAct(now)) {
-            takeOver.run(cluster.machines(), now);
+            standby.takeOver().run(cluster.machines(), now);
             cluster.tick(now);
             counters.decisions++;
             counters.decisionS += loop.now() - now;
@@ -264,9 +264,10 @@
         }
         store = new Store(state, committer, loop, System::currentTimeMillis, (int) (settings.stateLimits().valueKb() * 1024), termVersion,
                 () -> election.resign("the term has moved on", loop.now()), this::soon);
-        takeOver = new TakeOver(term, REPORT_ROUND * settings.workers().reportS(), settings.cloudLimits().listLagS(), mostQuestions, this::ask,
+        TakeOver takeOver = new TakeOver(term, REPORT_ROUND * settings.workers().reportS(), settings.cloudLimits().listLagS(), mostQuestions, this::ask,
                 loop.now());
         cluster = new Cluster(operator.policy(settings), this, caretaking.begin(term, loop.now()), takeOver, term, cloud.types(), loop.now());
+        standby.began(takeOver);
         prove(cluster, termVersion);
     }
 
@@ -276,12 +277,13 @@
             if (cluster != loading) {
                 return;
             }
-            if (!takeOver.read(records.oldest(), termVersion, loop.now())) {
+            if (!standby.takeOver().read(records.oldest(), termVersion, loop.now())) {
                 followed.follow();
                 prove(loading, termVersion);
                 return;
             }
             store.load(loading, records, (peer, baseMs) -> caretaking.recorded(peer, baseMs, System.currentTimeMillis(), loop.now()));
+            standby.hint(loading);
             followed.lead(store);
             loaded = true;
             store.types(cloud.types());
@@ -294,7 +296,7 @@
     /** Asks a machine for a report, under the token of this term: from then on it refuses whatever an earlier leader sent. */
     private void ask(Machine machine, long session) {
         Cluster asking = cluster;
-        TakeOver by = takeOver;
+        TakeOver by = standby.takeOver();
         counters.questions++;
         workers.orders(machine.address(), leadership.election().term(), Math.max(1, session), List.of(), loop.now(), (outcome, report) -> {
             if (cluster == asking) {
@@ -314,7 +316,7 @@
         }
         store = null;
         cluster = null;
-        takeOver = null;
+        standby.ended();
         loaded = false;
         followed.follow();
         caretaking.ended();
@@ -341,12 +343,14 @@
     @Override
     public void asking(String peer, ObjectNode request) {
         if (loaded) {
+            standby.ask(peer, request, cluster);
             caretaking.ask(peer, request, cluster, followed.knownUntil(), loop.now());
         }
     }
 
     @Override
     public void answered(String peer, ObjectNode answer, double sentAt) {
+        standby.answered(peer, answer);
         caretaking.answered(peer, answer, sentAt, loop.now());
     }
 
@@ -408,6 +412,7 @@
             counts.take(m);
         }
         ObjectNode answer = Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0);
+        standby.asked(m, m.path("term").asLong(), answer);
         caretaking.asked(m, m.path("term").asLong(), answer, loop.now());
         HttpServing.json(exchange, 200, answer);
     }
@@ -477,6 +482,14 @@
         connections.incoming(open);
     }
 
+    Standby standby() {
+        return standby;
+    }
+
+    Followed followed() {
+        return followed;
+    }
+
     boolean mandated() {
         return caretaking.mandated(loop.now());
     }
--- a/src/main/java/io/kelphoist/daemon/Followed.java
+++ b/src/main/java/io/kelphoist/daemon/Followed.java
@@ -24,7 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Followed.class);
     /** Each answered watch of the jobs also tells a leader up to when all their changes are known. */
     private static final int HOLD_MS = 1000;
-    private static final int FOLLOWER_HOLD_MS = 8000;
+    private static final int FOLLOWER_HOLD_MS = 4000;
     /** Changes of a while come with one answer: it is enough for a follower to be so far behind. */
     private static final double PAUSE_S = 0.5;
     private static final Map<Part, String> PREFIXES = new EnumMap<>(Map.of(Part.JOBS, Keys.JOBS, Part.PROGRESS, Keys.PROGRESS,
@@ -65,7 +65,8 @@
     private void known(Part part, long revision, double askedAt, boolean news) {
         mirror.asOf(part, revision);
         if (part == Part.JOBS) {
-            knownUntil = askedAt;
+            // A watch that was held while the records were proved was asked before that.
+            knownUntil = Math.max(knownUntil, askedAt);
             if (leading != null && news) {
                 leading.changed();
             }
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -5,6 +5,7 @@
 import io.kelphoist.core.Election;
 import io.kelphoist.core.Machine;
 import io.kelphoist.events.Hub;
+import io.kelphoist.standby.Check;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -47,6 +48,22 @@
         gauge("kelphoist.machines", "Machines, on the leader", x -> cluster(x, k -> k.machines().size()));
         gauge("kelphoist.machines.up", "Machines that report, on the leader",
                 x -> cluster(x, k -> k.machines().stream().filter(m -> m.state() == Machine.State.UP).count()));
+        gauge("kelphoist.standby.state", "What is told by the leader: 0 cold, 1 reading, 2 following, 3 behind",
+                x -> x.standby().picture().state(System.nanoTime() * 1e-9).ordinal());
+        gauge("kelphoist.standby.machines", "Machines that the leader told of", x -> x.standby().picture().size());
+        gauge("kelphoist.standby.behind.seconds", "Since the leader told anything", x -> x.standby().picture().behindS(System.nanoTime() * 1e-9));
+        gauge("kelphoist.standby.records.behind.seconds", "Since the state service told anything of the records", x -> x.followed().behindS());
+        gauge("kelphoist.standby.revision", "Revision as of which all records are known", x -> x.followed().mirror().oldest());
+        gauge("kelphoist.standby.jobs", "Unfinished jobs as followed", x -> x.followed().mirror().unfinished());
+        gauge("kelphoist.standby.followers.behind", "Changes that the farthest follower does not have, on the leader", x -> x.standby().followersBehind());
+        FunctionCounter.builder("kelphoist.standby.mended", controller, x -> x.standby().picture().mended())
+                .description("Parts of the leader's picture that went astray and were told anew").register(registry);
+        count("kelphoist.questions", "Machines asked for a report by a new leader", c, x -> x.questions);
+        for (Check check : Check.values()) {
+            Gauge.builder("kelphoist.standby.check.seconds", controller, x -> x.standby().passedAfter(check))
+                    .description("From the term's beginning until this held; NaN: it does not, or another controller leads")
+                    .tag("check", check.name().toLowerCase(Locale.ROOT)).register(registry);
+        }
         gauge("kelphoist.mandate", "1 while this controller may renew leases if the leader is quiet", x -> x.mandated() ? 1 : 0);
         gauge("kelphoist.connections.workers", "Connections that workers keep to this controller", Controller::workerConnections);
         gauge("kelphoist.connections.orders", "Connections to workers, for orders", Controller::orderLines);
--- /dev/null
+++ b/src/main/java/io/kelphoist/daemon/Standby.java
@@ -0,0 +1,114 @@
+package io.kelphoist.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.core.Cluster;
+import io.kelphoist.peer.FollowCodec;
+import io.kelphoist.standby.Check;
+import io.kelphoist.standby.Picture;
+import io.kelphoist.standby.TakeOver;
+import io.kelphoist.standby.Telling;
+import io.kelphoist.state.StateClient;
+
+/**
+ * Brings what a leader tells its followers to the messages between controllers, where it goes along with the requests for
+ * grants that are sent anyway; and keeps the take-over of the term under way here.
+ */
+final class Standby {
+    /** Followers are told so often, in seconds: with every other request for a grant. */
+    private static final double TELL_EVERY_S = 0.7;
+
+    private final boolean on;
+    private final StateClient.Loop loop;
+    private final Picture picture = new Picture();
+    /** Of the term that is led here; null: none is. */
+    private Telling telling;
+    /** Of the term under way here; null: there is none. */
+    private TakeOver takeOver;
+    private double tookAt = Double.NEGATIVE_INFINITY;
+
+    /** @param on whether followers are told, and what was told is used */
+    Standby(boolean on, StateClient.Loop loop) {
+        this.on = on;
+        this.loop = loop;
+    }
+
+    // ---- as the leader ----
+
+    void began(TakeOver first) {
+        takeOver = first;
+        telling = on ? new Telling() : null;
+        tookAt = Double.NEGATIVE_INFINITY;
+    }
+
+    void ended() {
+        takeOver = null;
+        telling = null;
+    }
+
+    TakeOver takeOver() {
+        return takeOver;
+    }
+
+    /** What an earlier leader told, once the records are taken in. */
+    void hint(Cluster cluster) {
+        if (!on) {
+            return;
+        }
+        double at = loop.now();
+        picture.machines().forEach(m -> cluster.onTold(m, at));
+        if (picture.whole()) {
+            takeOver.told(at);
+        }
+    }
+
+    /** Adds to a request for a grant. */
+    void ask(String peer, ObjectNode request, Cluster cluster) {
+        if (telling == null || takeOver.state() != TakeOver.State.LEADING) {
+            return;
+        }
+        double at = loop.now();
+        if (at >= tookAt + TELL_EVERY_S) {
+            // The other peers are asked in the same moment.
+            telling.take(cluster.toTell());
+            tookAt = at;
+        }
+        if (at < tookAt + TELL_EVERY_S / 2) {
+            request.set(FollowCodec.FIELD, FollowCodec.message(telling.next(peer, at)));
+        }
+    }
+
+    void answered(String peer, JsonNode answer) {
+        FollowCodec.Word word = FollowCodec.word(answer.path(FollowCodec.FIELD));
+        if (telling != null && word != null) {
+            telling.heard(peer, word.have(), word.astray());
+        }
+    }
+
+    // ---- as a follower ----
+
+    /** A leader asks for a grant; adds to the answer how far this controller is. */
+    void asked(JsonNode request, long term, ObjectNode answer) {
+        Telling.Message m = FollowCodec.message(request.path(FollowCodec.FIELD));
+        if (on && m != null) {
+            picture.take(term, m, loop.now());
+            answer.set(FollowCodec.FIELD, FollowCodec.word(picture.have(term), picture.astray()));
+        }
+    }
+
+    // ---- for the metrics ----
+
+    Picture picture() {
+        return picture;
+    }
+
+    /** Seconds from the term's beginning at which a check passed; not a number: it has not, or nothing is led here. */
+    double passedAfter(Check check) {
+        return takeOver == null ? Double.NaN : takeOver.passedAfter(check);
+    }
+
+    /** How many changes the follower that is farthest behind does not have. */
+    long followersBehind() {
+        return telling == null ? 0 : telling.behind();
+    }
+}
--- a/src/main/java/io/kelphoist/daemon/WarmUp.java
+++ b/src/main/java/io/kelphoist/daemon/WarmUp.java
@@ -3,6 +3,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.config.OperatorSettings;
 import io.kelphoist.config.Settings;
+import io.kelphoist.core.ToldMachine;
+import io.kelphoist.peer.FollowCodec;
+import io.kelphoist.standby.Telling;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
 import io.kelphoist.wire.HttpServing;
@@ -13,6 +16,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 /**
  * Runs a controller for a moment on loopback, twice, so that the build can archive the classes that a start and a
@@ -73,7 +77,7 @@
     private static OperatorSettings operator() throws IOException, Settings.Invalid {
         Path file = Files.createTempFile("kelphoist", ".textproto");
         try {
-            Files.writeString(file, "caretaking: true idle_s: 40");
+            Files.writeString(file, "caretaking: true standby: true idle_s: 40");
             return OperatorSettings.read(file);
         } finally {
             Files.delete(file);
@@ -100,7 +104,7 @@
                 }
                 call(peers + "/peer/report", report, true);
             }
-            call(peers + "/peer/grant", Cbor.map().put("term", 0).put("from", "b").put("state_ok", true), true);
+            call(peers + "/peer/grant", told(round), true);
             if (round == ROUNDS - 2) {
                 call(users + "/work/job-" + term + "5/cancel", Cbor.map(), false);
             }
@@ -108,6 +112,15 @@
         }
     }
 
+    /** Another controller asks for a grant, and tells of its machines as a leader does. */
+    private static ObjectNode told(int round) {
+        ObjectNode m = Cbor.map().put("term", 0).put("from", "b").put("state_ok", true);
+        Telling telling = new Telling();
+        telling.take(List.of(new ToldMachine("vm-" + round, "127.0.0.1:9", "m", "z", false, 1, true, false, false, false, 0, Double.POSITIVE_INFINITY)));
+        m.set(FollowCodec.FIELD, FollowCodec.message(telling.next("a", round)));
+        return m;
+    }
+
     /** More in each round, so that the later ones must make room. */
     private static void submit(String users, int term, int round) throws IOException {
         String id = "job-" + (term == 1 && round == 0 ? "1" : "" + term + round);
--- a/src/main/java/io/kelphoist/standby/TakeOver.java
+++ b/src/main/java/io/kelphoist/standby/TakeOver.java
@@ -164,8 +164,8 @@
             if (q.state == Asked.NOT_YET && m.address() != null) {
                 due.add(m);
             }
-            // One that nothing can run on is worth a moment only if it can be asked.
-            if (q.state != Asked.IN_VAIN && (m.mayRunSomething() || m.address() != null)) {
+            // One that is on record but that nobody, not even the cloud's list, has an address of can only be counted.
+            if (q.state != Asked.IN_VAIN && (m.address() != null || m.mayRunSomething() && !known)) {
                 open++;
             }
         }
@@ -190,9 +190,9 @@
         }
     }
 
-    /** Services and gangs first: what is lost with them is missed most. */
+    /** First services and gangs, as what is lost with them is missed most, and where an order is open. */
     private static int rank(Machine m) {
-        return m.runsTogether() ? 0 : m.mayRunSomething() ? 1 : 2;
+        return m.runsTogether() || m.toldOpen() ? 0 : m.mayRunSomething() ? 1 : 2;
     }
 
     /** How a question ended; {@code report} null: without one. */
--- a/src/main/java/io/kelphoist/state/RecordFeed.java
+++ b/src/main/java/io/kelphoist/state/RecordFeed.java
@@ -33,6 +33,11 @@
     /** Raised to leave what is under way to itself. */
     private long life;
     private long position = -1;
+    /** Raised whenever the position is forgotten: what was asked before does not go on from the new one. */
+    private long epoch;
+    private boolean following;
+    /** A question for changes is held at the state service; there is never a second one, as each takes a connection on both sides. */
+    private boolean watching;
 
     /** @param holdMs how long a question for changes may wait for one */
     public RecordFeed(StateClient state, StateClient.Loop loop, String prefix, int holdMs, Reader reader) {
@@ -55,21 +60,29 @@
      */
     public void follow(double pauseS) {
         paceS = pauseS;
+        following = true;
         next(++life);
     }
 
     public void stop() {
+        following = false;
         life++;
     }
 
     /** Forgets where it stands: the next question reads everything. */
     public void forget() {
         stop();
+        lost();
+    }
+
+    private void lost() {
         position = -1;
+        epoch++;
     }
 
     /** Once what is told is as of a moment after this call; it does not follow on by itself. */
     public void prove(Runnable proved) {
+        following = false;
         prove(++life, proved);
     }
 
@@ -96,18 +109,31 @@
 
     private void next(long mine) {
         if (position < 0) {
-            read(mine, () -> next(mine), () -> loop.after(AGAIN_S, () -> ifStill(mine, () -> next(mine))));
+            read(mine, () -> next(mine), () -> again(mine, AGAIN_S));
             return;
         }
+        if (watching) {
+            // Its answer, whatever it was asked for, tells all changes since.
+            return;
+        }
+        watching = true;
         double askedAt = loop.now();
-        state.watch(prefix, position, holdMs, result -> ifStill(mine, () -> {
-            boolean took = took(result, askedAt);
-            if (took && paceS == 0) {
-                next(mine);
-            } else {
-                loop.after(took ? paceS : AGAIN_S, () -> ifStill(mine, () -> next(mine)));
+        long askedIn = epoch;
+        state.watch(prefix, position, holdMs, result -> {
+            watching = false;
+            if (following) {
+                boolean took = askedIn == epoch && took(result, askedAt);
+                again(life, took || askedIn != epoch ? paceS : AGAIN_S);
             }
-        }));
+        });
+    }
+
+    private void again(long mine, double afterS) {
+        if (afterS == 0) {
+            next(mine);
+        } else {
+            loop.after(afterS, () -> ifStill(mine, () -> next(mine)));
+        }
     }
 
     private void read(long mine, Runnable then, Runnable failed) {
@@ -133,7 +159,7 @@
         }
         if (result instanceof StateClient.Done d && d.status() == 410) {
             LOG.info("the state service has forgotten the changes below {} after {}, all of it is read anew", prefix, position);
-            position = -1;
+            lost();
         }
         reader.behind();
         return false;
--- a/src/main/java/io/kelphoist/worker/WorkerCalls.java
+++ b/src/main/java/io/kelphoist/worker/WorkerCalls.java
@@ -26,7 +26,7 @@
 
     private static final int TIMEOUT_MS = 2500;
     /** A question without commands is not waited for as long: nothing of it matters later. */
-    private static final int QUESTION_TIMEOUT_MS = 1000;
+    private static final int QUESTION_TIMEOUT_MS = 600;
     private static final double KEEP_S = 40;
     private static final float LOAD = 0.75f;
     private final Function<String, HttpCaller> connect;
--- /dev/null
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -0,0 +1,174 @@
+package io.kelphoist.standby;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kelphoist.core.ToldMachine;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+import org.junit.jupiter.api.Test;
+
+/** Whatever the hints were: what an earlier leader sent is settled before anything starts elsewhere. */
+class StandbyTest {
+    private static int starts;
+    private static int quick;
+    private static int expired;
+
+    private static void play(StandbyWorld world, int step) {
+        int what = step % 16;
+        switch (what) {
+            case 0 -> world.takeOver(0);
+            case 1, 2 -> world.takeOver(1);
+            case 3 -> world.takeOver(2);
+            case 4 -> world.freeze(step / 16 % 12);
+            case 5, 6 -> world.cut(step / 16, true);
+            case 7, 8 -> world.cut(step / 16, false);
+            case 9, 10, 11 -> world.finish(step / 16);
+            case 12 -> world.list();
+            default -> { }
+        }
+        world.tell();
+        world.pass(0.3 + step / 16 % 5, step / 80 % 10);
+        world.tell();
+    }
+
+    @Property(tries = 2000, seed = "20261203")
+    void nothingRunsTwice(@ForAll long seed, @ForAll @Size(min = 4, max = 40) List<@IntRange(min = 0, max = 799) Integer> story) {
+        StandbyWorld world = new StandbyWorld(seed);
+        world.pass(6, 0);
+        story.forEach(step -> play(world, step));
+        world.pass(20, 0);
+        starts += world.starts;
+        quick += world.quick;
+        expired += world.expired;
+    }
+
+    /** The property would hold as well if nothing were ever started, or every take-over waited out its round. */
+    @AfterContainer
+    static void somethingHappened() {
+        assertTrue(starts > 5_000 && quick > 2000 && expired > 300, starts + " starts, " + quick + " quick take-overs, " + expired + " leases over");
+    }
+
+    private static ToldMachine machine(int number, long session) {
+        return new ToldMachine("vm-" + number, "10.0.0." + number + ":1", "m", "a", false, session, true, false, false, false, number, Double.POSITIVE_INFINITY);
+    }
+
+    /** Whatever is lost, repeated, mixed up or flipped on the way: once messages come again, the picture is the leader's. */
+    @Property(tries = 1000, seed = "20261204")
+    void pictureComesToBeTheLeaders(@ForAll long seed) {
+        Random random = new Random(seed);
+        Telling telling = new Telling();
+        Picture picture = new Picture();
+        List<ToldMachine> machines = new ArrayList<>();
+        List<Telling.Message> network = new ArrayList<>();
+        int size = random.nextInt(400);
+        for (int step = 0; step < 60; step++) {
+            for (int i = random.nextInt(size / 8 + 2); i > 0; i--) {
+                int number = random.nextInt(size + 1);
+                machines.removeIf(m -> m.name().equals("vm-" + number));
+                if (random.nextInt(4) > 0) {
+                    machines.add(machine(number, step));
+                }
+            }
+            telling.take(machines);
+            network.add(telling.next("f", step));
+            if (random.nextInt(3) > 0) {
+                picture.take(5, network.get(random.nextInt(network.size())), step);
+            }
+            if (random.nextInt(3) > 0) {
+                telling.heard("f", picture.have(5), picture.astray());
+            }
+        }
+        for (int step = 60; step < 60 + 40; step++) {
+            telling.heard("f", picture.have(5), picture.astray());
+            picture.take(5, telling.next("f", step), step);
+        }
+        assertEquals(Picture.State.FOLLOWING, picture.state(99.5));
+        assertEquals(new HashSet<>(machines), new HashSet<>(picture.machines()));
+    }
+
+    /** A machine too many, one too few and one that is wrong, in a picture that counts as complete: digests find them. */
+    @Test
+    void mendsWhatWentAstray() {
+        Telling telling = new Telling();
+        Telling other = new Telling();
+        Picture picture = new Picture();
+        telling.take(List.of(machine(1, 1), machine(2, 1), machine(3, 1)));
+        other.take(List.of(machine(1, 1), machine(2, 9), machine(4, 1)));
+        picture.take(5, other.next("f", 0), 0);
+        assertEquals(telling.next("f", 0).head(), picture.have(5));
+        for (int step = 1; step <= 40; step++) {
+            telling.heard("f", picture.have(5), picture.astray());
+            picture.take(5, telling.next("f", step), step);
+        }
+        assertEquals(new HashSet<>(List.of(machine(1, 1), machine(2, 1), machine(3, 1))), new HashSet<>(picture.machines()));
+        assertTrue(picture.mended() >= 2);
+    }
+
+    /** Thousands behind: each message is of a bounded size, and the follower is not called following before it is. */
+    @Test
+    void isBehindByThousands() {
+        Telling telling = new Telling();
+        Picture picture = new Picture();
+        List<ToldMachine> machines = new ArrayList<>();
+        for (int i = 0; i < 4000; i++) {
+            machines.add(machine(i, 1));
+        }
+        telling.take(machines);
+        int messages = 0;
+        while (picture.state(messages) != Picture.State.FOLLOWING) {
+            assertFalse(picture.whole());
+            Telling.Message m = telling.next("f", messages);
+            assertTrue(m.changed().size() <= Telling.MOST_CHANGES);
+            picture.take(5, m, messages++);
+            telling.heard("f", picture.have(5), picture.astray());
+        }
+        assertEquals(4000, picture.size());
+        assertTrue(messages <= 28, messages + " messages");
+        // A leader that is quiet, and a newer one that knows nothing yet.
+        assertEquals(Picture.State.BEHIND, picture.state(messages + 10));
+        assertTrue(picture.whole());
+        picture.take(6, new Telling().next("f", 0), messages + 11);
+        assertEquals(0, picture.size());
+    }
+
+    /** More go than are remembered: a follower that is behind all of them begins anew instead of keeping what is gone. */
+    @Test
+    void forgetsWhatIsLongGone() {
+        Telling telling = new Telling();
+        Picture picture = new Picture();
+        telling.take(List.of(machine(1, 1), machine(2, 1)));
+        picture.take(5, telling.next("f", 0), 0);
+        telling.heard("f", picture.have(5), picture.astray());
+        for (int i = 10; i < 10 + Telling.MOST_GONE + 50; i++) {
+            telling.take(List.of(machine(2, 1), machine(i, 1)));
+        }
+        for (int step = 1; picture.have(5) < telling.next("f", step).head(); step++) {
+            telling.heard("f", picture.have(5), picture.astray());
+            picture.take(5, telling.next("f", step), step);
+        }
+        assertEquals(2, picture.size());
+    }
+
+    /** Read at an older moment than the term's, records decide nothing. */
+    @Test
+    void oldRecordsAreReadAgain() {
+        TakeOver t = new TakeOver(3, 5, 4, 10, (m, s) -> { }, 100);
+        assertFalse(t.read(41, 42, 100.1));
+        assertEquals(TakeOver.State.READING, t.state());
+        t.run(List.of(), 106);
+        assertFalse(t.mayDecide(106));
+        assertTrue(t.read(42, 42, 106.1));
+        t.run(List.of(), 106.2);
+        assertTrue(t.mayDecide(106.2));
+        assertEquals(6.1, t.passedAfter(Check.RECORDS), 1e-9);
+    }
+}
