A session told by an order has a lease of its own; machines that don't hear, copies, new beginnings

The new session's lease runs from its beginning.

A report no newer than the newest one is a copy or a new beginning of the machine; a check under the own token tells them apart. Property: copies up to three leases late, machines that hear nothing, machines back at once; when all is over as much runs as may. It found a phantom (tasks that counted as running for ever) and two ways for a late copy to end a session that goes on.

--- a/src/main/java/io/kelphoist/config/Settings.java
+++ b/src/main/java/io/kelphoist/config/Settings.java
@@ -162,9 +162,13 @@
             double gpus = amount(t, "gpus", at);
             double gpusMax = amount(t, "gpus_max", at);
             double none = Double.POSITIVE_INFINITY;
+            Resources limit = new Resources(cpusMax == 0 ? none : cpusMax, gpusMax == 0 ? none : gpusMax, none);
+            if (cpus == 0 && gpus == 0) {
+                // A guest: what does not bind anybody else would otherwise be a guarantee of everything.
+                return new Team(text(t, "name", at), Resources.NONE, limit);
+            }
             return new Team(text(t, "name", at),
-                    new Resources(cpus == 0 && cpusMax == 0 ? none : cpus, gpus == 0 && gpusMax == 0 ? none : gpus, none),
-                    new Resources(cpusMax == 0 ? none : cpusMax, gpusMax == 0 ? none : gpusMax, none));
+                    new Resources(cpus == 0 && cpusMax == 0 ? none : cpus, gpus == 0 && gpusMax == 0 ? none : gpus, none), limit);
         }
 
         private JsonNode need(JsonNode m, String name, String at) throws Invalid {
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -52,7 +52,7 @@
     private final ProgressRecords progress;
     private final ImageRecords cached;
     private final Dependencies dependencies;
-    private final Attempts attempts;
+    private final Intake intake;
     private final Leases leases;
     private final Allocator allocator;
     private final Fleet fleet;
@@ -66,7 +66,6 @@
     /** Machines that may have to be told something. */
     private final Set<Machine> untold = new ReferenceLinkedOpenHashSet<>();
     private boolean loading = true;
-    private boolean deposed;
 
     /**
      * @param others who else may have answered reports, see {@link OtherAnswers}
@@ -85,7 +84,7 @@
         progress = new ProgressRecords(policy, effects);
         cached = new ImageRecords(policy, images, this::gbOf, effects);
         dependencies = new Dependencies(jobs, effects);
-        attempts = new Attempts(this, progress, cached);
+        intake = new Intake(this, new Attempts(this, progress, cached), starts, first);
         leases = new Leases(this, others);
         allocator = new Allocator(this);
         fleet = new Fleet(this, first);
@@ -115,7 +114,7 @@
 
     /** True once somebody was seen to hold a higher term. */
     public boolean deposed() {
-        return deposed;
+        return intake.deposed();
     }
 
     /** True once the take-over's round of reports is over. */
@@ -303,7 +302,7 @@
             m = new Machine(start.machine(), null, t, zones.of(start.zone()), start.spot(), Machine.State.JOINING, now);
             add(m);
         }
-        if (presumedOn(m, job, start.task().task()) != null) {
+        if (Intake.presumedOn(m, job, start.task().task()) != null) {
             return;
         }
         Placement p = new Placement(job, start.task().task(), Placement.PRESUMED, m, 0, now);
@@ -317,70 +316,9 @@
         untold.addAll(starts.stored(page, outcome));
     }
 
-    /**
-     * A worker's report. The answer's commands are in the order in which the worker must execute them.
-     * Only answers to reports carry forgets: a worker handles one answer after the other, so no start that was
-     * decided earlier can come after one. Null: the report must not be answered as accepted, so that a session
-     * that counts as over can not be kept alive.
-     */
-    public List<Command> onReport(MachineReport report, double now) {
-        Machine m = ingest(report, now);
-        if (m == null) {
-            return null;
-        }
-        m.lastAnswer = now;
-        m.lastReport = now;
-        if (!m.state().reports() && m.state() != Machine.State.RETURNING) {
-            return List.of();
-        }
-        return Answering.commands(this, m, report);
-    }
-
-    /** Takes in a report that came by itself or as the answer to an order. Null: it means nothing. */
-    private Machine ingest(MachineReport report, double now) {
-        if (report.token() > term) {
-            if (!deposed) {
-                LOG.info("machine {} has seen term {}, ours is {}", report.machine(), report.token(), term);
-            }
-            deposed = true;
-            return null;
-        }
-        Machine m = machines.get(report.machine());
-        if (m == null) {
-            m = adopt(report, now);
-            if (m == null) {
-                return null;
-            }
-        }
-        if (report.session() <= m.deadSession) {
-            return null;
-        }
-        if (!report.newerThan(m.session, m.seq)) {
-            return m;
-        }
-        if (report.session() > m.session) {
-            endSession(m, report.session(), now);
-        }
-        m.session = report.session();
-        m.seq = report.seq();
-        m.address = report.address();
-        m.heard(now);
-        if (report.token() < term) {
-            return m;
-        }
-        if (m.state() == Machine.State.BOOTING || m.state() == Machine.State.JOINING || m.state() == Machine.State.LOST) {
-            if (m.state() == Machine.State.BOOTING) {
-                LOG.info("machine {} ({}, {}{}) is up after {} s", m.name, m.type.name(), zones.name(m.zone), m.spot ? ", spot" : "",
-                        Math.round(now - m.rentedAt));
-            }
-            m.to(m.wasDraining() ? Machine.State.DRAINING : Machine.State.UP, now);
-        }
-        if (report.noticeS() != null && m.takenAt == Double.POSITIVE_INFINITY) {
-            m.takenAt = now + report.noticeS();
-            LOG.info("machine {} will be taken in {} s", m.name, report.noticeS());
-        }
-        match(m, report, now);
-        return m;
+    /** A worker's report, see {@link Intake#onReport}; {@code via}: the controller that it was sent to. */
+    public List<Command> onReport(MachineReport report, String via, double now) {
+        return intake.onReport(report, via, now);
     }
 
     /** What followers are told: machines that are or are about to be up, not those that go. */
@@ -409,106 +347,8 @@
         }
     }
 
-    private Machine adopt(MachineReport report, double now) {
-        MachineType t = types.get(report.type());
-        if (gone.containsKey(report.machine()) || t == null) {
-            return null;
-        }
-        Machine m = new Machine(report.machine(), report.address(), t, zones.of(report.zone()), report.spot(), Machine.State.JOINING, now);
-        LOG.info("machine {} adopted from its report", m.name);
-        add(m);
-        return m;
-    }
-
-    private void endSession(Machine m, long next, double now) {
-        for (Placement p : new ArrayList<>(m.placements)) {
-            // What a record names is presumed until the machine has seen our term: nobody knows its session.
-            if (p.session < next && !p.presumed()) {
-                vanish(p, now);
-            }
-        }
-        if (m.session > 0) {
-            LOG.info("machine {} is in session {}, what ran before is over", m.name, next);
-        }
-    }
-
-    private void match(Machine m, MachineReport report, double now) {
-        for (TaskReport t : report.tasks()) {
-            Placement p = m.find(t);
-            if (p == null) {
-                p = adoptTask(m, t, report.session(), now);
-            }
-            if (p != null) {
-                attempts.advance(p, t, now);
-            }
-        }
-        for (Placement p : new ArrayList<>(m.placements)) {
-            boolean listed = false;
-            for (TaskReport t : report.tasks()) {
-                listed |= p.is(t);
-            }
-            if (listed) {
-                continue;
-            }
-            if (p.presumed()) {
-                vanish(p, now);
-            } else if (p.state() == Placement.State.SENT) {
-                // Not there yet. A start in an answer is executed before the next report or never; an order
-                // without an answer may come at any time, so such an attempt stays until it shows up.
-                if (p.stopping() && !p.dangling && !p.inFlight) {
-                    vanish(p, now);
-                }
-            } else if (p.dangling || p.inFlight) {
-                LOG.warn("task {}/{} left the reports of {} while its order is open", p.job.spec.id(), p.task, m.name);
-            } else {
-                vanish(p, now);
-            }
-        }
-    }
-
-    /** A task that an earlier term started. Null: nobody knows its job, it is stopped and forgotten. */
-    private Placement adoptTask(Machine m, TaskReport t, long session, double now) {
-        Job job = jobs.get(t.job());
-        if (job == null || t.task() >= job.spec.tasks()) {
-            return null;
-        }
-        Placement p = new Placement(job, t.task(), t.attempt(), m, session, now);
-        m.put(p);
-        if (t.phase() == TaskPhase.EXITED) {
-            return p;
-        }
-        p.recorded = true;
-        p.startSent = true;
-        starts.adopt(p, presumedOn(m, job, t.task()));
-        // Seen here, so it is not where records that are old presume it: a task is never on two machines.
-        for (Placement known = job.at.get(t.task()); known != null && known.presumed(); known = job.at.get(t.task())) {
-            vanish(known, now);
-        }
-        // Of a gang, the first attempt that is seen decides: what records presume of the others may be part of it.
-        boolean welcome = job.active() && !job.done.get(t.task()) && !job.at.containsKey(t.task())
-                && (job.spec.kind() != JobKind.GANG || job.gangAttempt == 0 || job.gangAttempt == t.attempt());
-        if (welcome && job.spec.kind() == JobKind.GANG) {
-            job.gangAttempt = t.attempt();
-        }
-        count(p);
-        if (!welcome) {
-            LOG.info("task {}/{} attempt {} on {} is not wanted", t.job(), t.task(), t.attempt(), m.name);
-            stop(p, 0, now);
-        }
-        return p;
-    }
-
-    private static Placement presumedOn(Machine m, Job job, int task) {
-        for (Placement p : m.placements) {
-            if (p.presumed() && p.job == job && p.task == task) {
-                return p;
-            }
-        }
-        return null;
-    }
-
     /** Counts an attempt in: room, quota, zone. */
-    private void count(Placement p) {
+    void count(Placement p) {
         p.counted = true;
         p.machine.occupy(p.job.spec.perTask());
         p.job.team.used = p.job.team.used.plus(p.job.spec.perTask());
@@ -571,7 +411,7 @@
         return Math.round(seconds * 10) / 10.0;
     }
 
-    private void vanish(Placement p, double now) {
+    void vanish(Placement p, double now) {
         if (p.state() == Placement.State.GONE) {
             return;
         }
@@ -685,12 +525,17 @@
     public void onAsked(String machine, OrderOutcome outcome, MachineReport report, double now) {
         Machine m = machines.get(machine);
         if (report != null) {
-            ingest(report, now);
+            intake.onAnswer(report, now);
         } else if (m != null && outcome != OrderOutcome.NOT_TRIED) {
-            m.unreached = true;
+            m.hearing.inVain(now);
         }
     }
 
+    /** The outcome of {@link Effects#check}. */
+    public void onChecked(String machine, OrderOutcome outcome, MachineReport report, double now) {
+        intake.onChecked(machine, outcome, report, now);
+    }
+
     /** How a direct order ended; {@code report} is the worker's, where it sent one. */
     public void onOrders(String machine, OrderOutcome outcome, MachineReport report, double now) {
         Machine m = machines.get(machine);
@@ -706,10 +551,12 @@
         }
         if (outcome != OrderOutcome.EXECUTED && outcome != OrderOutcome.REFUSED) {
             m.ordersRetryAt = now + policy.reportS() * 2;
-            m.unreached = outcome != OrderOutcome.NOT_TRIED;
+            if (outcome != OrderOutcome.NOT_TRIED) {
+                m.hearing.inVain(now);
+            }
         }
         if (report != null) {
-            ingest(report, now);
+            intake.onAnswer(report, now);
         }
     }
 
--- a/src/main/java/io/kelphoist/core/Effects.java
+++ b/src/main/java/io/kelphoist/core/Effects.java
@@ -7,6 +7,9 @@
     /** Sends commands straight to a worker; outcome: {@link Cluster#onOrders}. */
     void orders(Machine machine, long session, List<Command> commands);
 
+    /** Asks a machine for a report, to know whether it hears and as whom; outcome: {@link Cluster#onChecked}. */
+    void check(Machine machine);
+
     /** Stores a page of done tasks; outcome: {@link Cluster#onProgressStored}. */
     void storeProgress(int page, List<TaskProgress> progress);
 
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -20,6 +20,10 @@
     private static final double SUMMARY_EVERY_S = 5;
     private static final double REFUSED_FOR_S = 15;
     private static final double LOST_FOR_S = 20;
+    /** A machine that hears nothing goes back after so many leases: one has ended what ran there, another may have mended it. */
+    private static final double DEAF_LEASES = 2.5;
+    /** Not more than one of them in this time: where a zone hears nothing, that is over before its machines would boot anew. */
+    private static final double DEAF_EVERY_S = 5;
     /** Tasks of one job that machines are rented for at a time. */
     private static final int MOST_TASKS_PER_JOB = 200;
     private static final int MOST_PER_REQUEST = 50;
@@ -57,6 +61,7 @@
     private double nextSummary;
     private boolean returning;
     private double returnRetryAt;
+    private double nextDeaf;
     private long requests;
 
     Fleet(Cluster cluster, FirstDecision first) {
@@ -358,6 +363,11 @@
                     }
                 }
                 case UP -> {
+                    if (deaf(m, now)) {
+                        nextDeaf = now + DEAF_EVERY_S;
+                        leave(m, "hears nothing", now);
+                        continue;
+                    }
                     boolean aged = m.idle() && m.held().equals(Resources.NONE) && m.heldFor() == null
                             && now - m.idleSince > cluster.policy.idleS();
                     if (aged && (m.spot || idle >= 1)) {
@@ -383,6 +393,11 @@
         }
     }
 
+    private boolean deaf(Machine m, double now) {
+        return now >= nextDeaf && m.idle() && m.hearing.state() == Hearing.State.DEAF
+                && m.hearing.doubtedFor(now) > DEAF_LEASES * cluster.policy.leaseS();
+    }
+
     private void leave(Machine m, String why, double now) {
         if (m.to(Machine.State.RETURNING, now)) {
             LOG.info("return {}: {}", m.name, why);
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -55,9 +55,11 @@
     /** Gets no new work so that it can go back; takes work again when some waits. */
     boolean emptying;
     double ordersRetryAt;
-    /** A direct order did not get through, and it has not reported since. */
-    boolean unreached;
-    /** It may be cut off: it has missed a report, or {@link #unreached}. Gets no new work until it is heard. */
+    /** Whether it acts on what it is told. */
+    final Hearing hearing = new Hearing();
+    /** It was seen to hold the token of this term: an older one is of before, or of a new beginning. */
+    boolean confirmed;
+    /** It may be cut off: it has missed a report, or it is doubted that it hears. Gets no new work until that is over. */
     boolean quiet;
     private Resources used = Resources.NONE;
     /** Pieces held for gangs. */
@@ -179,7 +181,9 @@
             address = told.address();
         }
         toldSession = told.session();
-        unreached |= told.quiet() && unheard();
+        if (told.quiet() && unheard()) {
+            hearing.inVain(lastReport);
+        }
         toldDraining = told.blamed();
         toldOpen = told.open();
         takenAt = Math.min(takenAt, told.takenAt());
@@ -195,6 +199,11 @@
         return state == State.JOINING;
     }
 
+    /** Its reports may come, but not what it is told. */
+    public boolean doubted() {
+        return hearing.doubted() && state.reports();
+    }
+
     public boolean mayRunSomething() {
         return !placements.isEmpty();
     }
@@ -277,11 +286,10 @@
         return state == State.UP && takenAt == Double.POSITIVE_INFINITY && !quiet;
     }
 
-    /** A report came, newer than what was known. */
+    /** A message came that is no copy. */
     void heard(double now) {
         lastReport = now;
-        unreached = false;
-        quiet = false;
+        quiet = hearing.doubted();
     }
 
     /** Something may run here that a user has cancelled. */
@@ -294,6 +302,12 @@
         return false;
     }
 
+    /** For whoever looks for what is wrong. */
+    @Override
+    public String toString() {
+        return name + " " + session + "." + seq + " " + state + (quiet ? " quiet " : " ") + hearing.state() + " " + placements;
+    }
+
     boolean heldForOther(Job job, double now) {
         Job held = heldAt(now);
         return held != null && held != job;
--- a/src/main/java/io/kelphoist/core/Placement.java
+++ b/src/main/java/io/kelphoist/core/Placement.java
@@ -97,6 +97,11 @@
         return machine;
     }
 
+    @Override
+    public String toString() {
+        return job.spec.id() + "/" + task + "@" + attempt + " " + state + (dangling ? " dangling" : "") + (stopping() ? " stopping" : "");
+    }
+
     boolean is(TaskReport report) {
         return attempt == report.attempt() && task == report.task() && job.spec.id().equals(report.job());
     }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -186,11 +186,16 @@
         leadership.tick();
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER && leads() && !leaving && election.mayAct(now)) {
-            term.decide(now);
+            Term led = term;
+            led.decide(now);
             counters.decisions++;
             counters.decisionS += loop.now() - now;
             // A decision over a large fleet takes a while, above all in a process that just began: reports go first.
             nextDecision = now + DECISION_SHARE * (loop.now() - now);
+            if (term != led) {
+                // What a decision found out, such as a write that says that the term has moved on, has ended it.
+                return;
+            }
             if (term.cluster().deposed()) {
                 election.resign("a worker has seen a higher term", now);
                 return;
@@ -287,7 +292,10 @@
     public void asking(String peer, ObjectNode request) {
         if (leads()) {
             standby.ask(peer, request, term.cluster());
-            caretaking.ask(peer, request, term.cluster(), followed.knownUntil(), loop.now());
+            if (leadership.election().mayAct(loop.now())) {
+                // A next leader counts what an earlier one may have given from its own beginning: so none is given after that.
+                caretaking.ask(peer, request, term.cluster(), followed.knownUntil(), loop.now());
+            }
         }
     }
 
@@ -343,7 +351,7 @@
     }
 
     /** The answer to a report, if this controller may give one. */
-    private ObjectNode lead(MachineReport report) {
+    private ObjectNode lead(MachineReport report, String via) {
         Election election = leadership.election();
         if (!election.mayAct(loop.now())) {
             return null;
@@ -351,7 +359,7 @@
         if (term == null) {
             return Term.onlyLease(report, election.term());
         }
-        return term.answer(report);
+        return term.answer(report, via);
     }
 
     // ---- peers ----
--- a/src/main/java/io/kelphoist/daemon/Counters.java
+++ b/src/main/java/io/kelphoist/daemon/Counters.java
@@ -7,6 +7,7 @@
     volatile long cared;
     volatile long orders;
     volatile long questions;
+    volatile long checks;
     volatile long unanswered;
     volatile long badMessages;
     volatile long bugs;
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -64,6 +64,9 @@
                     .description("From the term's beginning until this held; NaN: it does not, or another controller leads")
                     .tag("check", check.name().toLowerCase(Locale.ROOT)).register(registry);
         }
+        count("kelphoist.checks", "Machines asked whether they hear", c, x -> x.checks);
+        gauge("kelphoist.machines.doubted", "Machines that report and are not known to hear, on the leader",
+                x -> cluster(x, k -> k.machines().stream().filter(Machine::doubted).count()));
         gauge("kelphoist.mandate", "1 while this controller may renew leases if the leader is quiet", x -> x.mandated() ? 1 : 0);
         gauge("kelphoist.connections.workers", "Connections that workers keep to this controller", Controller::workerConnections);
         gauge("kelphoist.connections.orders", "Connections to workers, for orders", Controller::orderLines);
--- a/src/main/java/io/kelphoist/daemon/Reports.java
+++ b/src/main/java/io/kelphoist/daemon/Reports.java
@@ -18,8 +18,12 @@
 final class Reports {
     /** Answers a report as the leader. */
     interface Lead {
-        /** Null: this controller may not answer it. */
-        ObjectNode answer(MachineReport report);
+        /**
+         * Null: this controller may not answer it.
+         *
+         * @param via where the controller is that it was sent to; empty: here
+         */
+        ObjectNode answer(MachineReport report, String via);
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
@@ -75,7 +79,8 @@
     void relayed(HttpServerExchange exchange, byte[] body) {
         try {
             MachineReport report = Codec.report(Cbor.decodeJson(body));
-            ObjectNode answer = leadership.election().state() == Election.State.LEADER ? lead.answer(report) : null;
+            ObjectNode answer = leadership.election().state() == Election.State.LEADER
+                    ? lead.answer(report, exchange.getSourceAddress().getAddress().getHostAddress()) : null;
             if (answer == null) {
                 HttpServing.status(exchange, 503);
             } else {
@@ -92,10 +97,12 @@
         Election election = leadership.election();
         if (election.state() == Election.State.LEADER) {
             counters.directReportAt = now;
-            ObjectNode answer = lead.answer(report);
+            ObjectNode answer = lead.answer(report, "");
             if (answer != null) {
                 HttpServing.cbor(exchange, 200, answer);
-            } else if (!cared(exchange, report, now)) {
+            } else if (election.mayAct(now) || !cared(exchange, report, now)) {
+                // A leader that may act and does not answer has a reason, such as a session that counts as over: what it
+                // refuses as a leader it must not keep alive as a caretaker of its own zone.
                 HttpServing.status(exchange, 503);
             }
             return;
@@ -133,7 +140,7 @@
             routes.relayed(report.machine(), ok, loop.now());
             if (ok) {
                 HttpServing.cbor(exchange, 200, answer.body());
-            } else if (leadership.heardFromLeader(loop.now()) || !cared(exchange, report, loop.now())) {
+            } else if (leadership.heardFromLeader(loop.now()) || leadership.election().mayAct(loop.now()) || !cared(exchange, report, loop.now())) {
                 HttpServing.status(exchange, 503);
             }
         });
--- a/src/main/java/io/kelphoist/daemon/Term.java
+++ b/src/main/java/io/kelphoist/daemon/Term.java
@@ -119,12 +119,12 @@
     }
 
     /** The answer to a report; null: it must not be accepted. */
-    ObjectNode answer(MachineReport report) {
+    ObjectNode answer(MachineReport report, String via) {
         if (!loaded) {
             return onlyLease(report, term);
         }
         double from = now();
-        List<Command> commands = cluster.onReport(report, from);
+        List<Command> commands = cluster.onReport(report, via, from);
         around.counters.reportS += now() - from;
         around.soon.run();
         return commands == null ? null : Codec.answer(term, commands);
@@ -164,6 +164,24 @@
         });
     }
 
+    @Override
+    public void check(Machine machine) {
+        if (!election.mayAct(now())) {
+            around.loop.after(0, () -> checked(machine.name, Cluster.OrderOutcome.NOT_TRIED, null));
+            return;
+        }
+        around.counters.checks++;
+        around.workers.orders(machine.address(), term, Math.max(1, machine.session()), List.of(), now(),
+                (outcome, report) -> checked(machine.name, outcome, report));
+    }
+
+    private void checked(String machine, Cluster.OrderOutcome outcome, MachineReport report) {
+        if (!ended) {
+            cluster.onChecked(machine, outcome, report, now());
+            around.soon.run();
+        }
+    }
+
     @Override
     public void orders(Machine machine, long session, List<Command> commands) {
         if (!election.mayAct(now()) || machine.address() == null) {
--- a/src/test/java/io/kelphoist/core/Measure.java
+++ b/src/test/java/io/kelphoist/core/Measure.java
@@ -71,7 +71,7 @@
         while (now < from + 60) {
             now += 0.02;
             for (; up < Math.min(size, size * (now - from) / 40); up++) {
-                cluster.onReport(report("vm-" + up, up, 1), now);
+                cluster.onReport(report("vm-" + up, up, 1), "", now);
             }
             tick(true);
         }
@@ -124,7 +124,7 @@
         for (int i = 0; i < size; i++) {
             MachineReport r = report("vm-" + i, i, token);
             long from = System.nanoTime();
-            cluster.onReport(r, now);
+            cluster.onReport(r, "", now);
             if (measured) {
                 reports.recordValue(System.nanoTime() - from);
             }
@@ -149,7 +149,7 @@
     private void run(boolean said) {
         begin(1);
         for (int i = 0; i < size; i++) {
-            cluster.onReport(report("vm-" + i, i, 1), now);
+            cluster.onReport(report("vm-" + i, i, 1), "", now);
         }
         // Three quarters full, then for a minute as many new tasks as end.
         int number = 0;
@@ -178,7 +178,7 @@
         pages.forEach((page, starts) -> starts.forEach(s -> cluster.onStartLoaded(page, s, now)));
         cluster.onLoaded(0);
         for (int i = 0; i < size; i++) {
-            cluster.onReport(report("vm-" + i, i, 2), now);
+            cluster.onReport(report("vm-" + i, i, 2), "", now);
         }
         now += 1.3 * REPORT_S;
         cluster.tick(now);
@@ -211,6 +211,9 @@
         answers.add(() -> cluster.onStartsStored(page, PageOutcome.STORED));
     }
 
+    @Override
+    public void check(Machine machine) { }
+
     @Override
     public void storeProgress(int page, List<TaskProgress> progress) {
         answers.add(() -> cluster.onProgressStored(page, PageOutcome.STORED));
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -29,6 +29,8 @@
     private TakeOver takeOver;
     /** Machines that were asked for a report, and with which session. */
     private final Map<String, Long> questions = new TreeMap<>();
+    /** Machines that were asked whether they hear. */
+    private final Set<String> checks = new TreeSet<>();
     private double now;
     private long version = 100;
     private List<Command> answer;
@@ -91,7 +93,7 @@
                 cluster.onProgressLoaded(0, new TaskProgress(w[1], 0, done));
             }
             case "report" -> {
-                answer = cluster.onReport(report(w, with), now);
+                answer = cluster.onReport(report(w, with), with.getOrDefault("via", ""), now);
                 answered = true;
                 note(answer);
             }
@@ -104,6 +106,10 @@
                 takeOver.told(now);
             }
             case "asked" -> asked(w, with);
+            case "checked" -> {
+                assertTrue(checks.remove(w[1]), "was not checked");
+                cluster.onChecked(w[1], Cluster.OrderOutcome.valueOf(w[2].toUpperCase()), answerOf(w, with), now);
+            }
             case "starts-store" -> startsStoreWorks = w[1].equals("works");
             case "images-store" -> imagesOutcome = PageOutcome.valueOf(w[1].toUpperCase());
             case "starts-stored" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.STORED);
@@ -246,20 +252,25 @@
 
     /** asked vm-1 executed|refused|not_sent|unanswered|not_tried [as=VM] [SESSION SEQ TOKEN tasks...]; as: who answers there */
     private void asked(String[] w, Map<String, String> with) {
-        MachineReport report = null;
-        if (w.length > 3) {
-            List<String> r = new ArrayList<>(List.of(w));
-            r.removeIf(word -> word.startsWith("as="));
-            r.remove(2);
-            r.set(1, with.getOrDefault("as", w[1]));
-            report = report(r.toArray(String[]::new), with);
-        }
+        MachineReport report = answerOf(w, with);
         assertNotNull(questions.remove(w[1]), "was not asked");
         Cluster.OrderOutcome outcome = Cluster.OrderOutcome.valueOf(w[2].toUpperCase());
         cluster.onAsked(w[1], outcome, report, now);
         takeOver.answered(w[1], outcome, report);
     }
 
+    /** The report with which a question or a check was answered; null: without one. */
+    private MachineReport answerOf(String[] w, Map<String, String> with) {
+        if (w.length <= 3) {
+            return null;
+        }
+        List<String> r = new ArrayList<>(List.of(w));
+        r.removeIf(word -> word.startsWith("as="));
+        r.remove(2);
+        r.set(1, with.getOrDefault("as", w[1]));
+        return report(r.toArray(String[]::new), with);
+    }
+
     private void stored(String id) {
         if (stored.remove("done " + id)) {
             cluster.onJob(new JobRecord(id, null, JobStatus.DONE, 0, ++version), 0, now);
@@ -317,6 +328,8 @@
                     .map(p -> p.job().spec.id() + "/" + p.task()).collect(Collectors.joining(" ")));
             case "questions" -> assertEquals(rest(w, 2), questions.isEmpty() ? "none" : questions.entrySet().stream()
                     .map(q -> q.getKey() + "@" + q.getValue()).collect(Collectors.joining(" ")));
+            case "checks" -> assertEquals(rest(w, 2), checks.isEmpty() ? "none" : String.join(" ", checks));
+            case "hearing" -> assertEquals(w[3], cluster.machines.get(w[2]).hearing.state().name().toLowerCase());
             case "check" -> assertEquals(Boolean.valueOf(w[3]), !Double.isNaN(takeOver.passedAfter(Check.valueOf(w[2]))));
             case "recovered" -> assertEquals(Boolean.valueOf(w[2]), cluster.recovered());
             case "deposed" -> assertEquals(Boolean.valueOf(w[2]), cluster.deposed());
@@ -367,6 +380,11 @@
         note(commands);
     }
 
+    @Override
+    public void check(Machine machine) {
+        checks.add(machine.name);
+    }
+
     @Override
     public void storeProgress(int page, List<TaskProgress> progress) {
         writes++;
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -27,6 +27,9 @@
     private static int starts;
     private static int quick;
     private static int expired;
+    private static int restarts;
+    private static int returned;
+    private static int copied;
 
     private static void play(StandbyWorld world, int step) {
         int what = step % 16;
@@ -39,6 +42,9 @@
             case 7, 8 -> world.cut(step / 16, false);
             case 9, 10, 11 -> world.finish(step / 16);
             case 12 -> world.list();
+            case 13 -> world.deaf(step / 16, true);
+            case 14 -> world.deaf(step / 16, false);
+            case 15 -> world.restart(step / 16);
             default -> { }
         }
         world.tell();
@@ -51,16 +57,20 @@
         StandbyWorld world = new StandbyWorld(seed);
         world.pass(6, 0);
         story.forEach(step -> play(world, step));
-        world.pass(20, 0);
+        world.settle();
         starts += world.starts;
         quick += world.quick;
         expired += world.expired;
+        restarts += world.restarts;
+        returned += world.returned;
+        copied += world.copied;
     }
 
     /** The property would hold as well if nothing were ever started, or every take-over waited out its round. */
     @AfterContainer
     static void somethingHappened() {
         assertTrue(starts > 5_000 && quick > 2000 && expired > 300, starts + " starts, " + quick + " quick take-overs, " + expired + " leases over");
+        assertTrue(restarts > 1000 && returned > 500 && copied > 5000, restarts + " restarts, " + returned + " machines returned, " + copied + " copies");
     }
 
     private static ToldMachine machine(int number, long session) {
--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -38,9 +38,10 @@
 
 /**
  * Leaders one after the other over a handful of workers, with a network that holds, drops and mixes up what it carries.
- * What earlier leaders sent comes when it comes.
+ * What earlier leaders sent comes when it comes; copies of reports come up to three leases late; what is sent to a worker
+ * may be lost while its own reports arrive; and a machine may be back at once, counting from 1 again.
  * Every start that a worker executes is held against the
- * rules: no task on two machines, no team past its limit.
+ * rules: no task on two machines, no team past its limit. When all that is over, as much runs as may.
  */
 final class StandbyWorld {
     private static final double REPORT_S = 2;
@@ -60,6 +61,10 @@
         double leaseFrom;
         double reportAt;
         boolean cut;
+        /** Its reports arrive, but nothing that is sent to it. */
+        boolean deaf;
+        /** The cloud has taken it. */
+        boolean gone;
 
         Worker(int number) {
             name = "vm-" + number;
@@ -83,6 +88,19 @@
             return new TaskReport(task.substring(0, slash), Integer.parseInt(task.substring(slash + 1)), attempt, phase, why, false);
         }
 
+        /** Back at once, with nothing of what it knew. */
+        void restart() {
+            on.clear();
+            exited.clear();
+            token = 0;
+            session = 1;
+            seq = 0;
+            leaseFrom = now;
+            restarts++;
+            // What was on its way went to connections that are no more.
+            network.stream().filter(o -> o.to == this).forEach(o -> o.lost = true);
+        }
+
         void expire() {
             if (now > leaseFrom + LEASE_S) {
                 on.clear();
@@ -144,9 +162,12 @@
         final long session;
         final List<Command> commands;
         final double givenUpAt;
+        final boolean check;
         boolean answered;
+        boolean lost;
 
-        Order(Leader from, Worker to, String asked, long session, List<Command> commands) {
+        Order(Leader from, Worker to, String asked, long session, List<Command> commands, boolean check) {
+            this.check = check;
             this.from = from;
             this.to = to;
             this.asked = asked;
@@ -166,7 +187,9 @@
                 return;
             }
             answered = true;
-            if (commands.isEmpty()) {
+            if (check) {
+                from.cluster.onChecked(asked, outcome, report, now);
+            } else if (commands.isEmpty()) {
                 from.cluster.onAsked(asked, outcome, report, now);
                 from.takeOver.answered(asked, outcome, report);
             } else {
@@ -199,17 +222,22 @@
         }
 
         private void ask(Machine machine, long session) {
-            send(machine, Math.max(1, session), List.of());
+            send(machine, Math.max(1, session), List.of(), false);
+        }
+
+        @Override
+        public void check(Machine machine) {
+            send(machine, Math.max(1, machine.session()), List.of(), true);
         }
 
         @Override
         public void orders(Machine machine, long session, List<Command> commands) {
-            send(machine, session, commands);
+            send(machine, session, commands, false);
         }
 
-        private void send(Machine machine, long session, List<Command> commands) {
+        private void send(Machine machine, long session, List<Command> commands, boolean check) {
             Worker to = workers.stream().filter(w -> w.address().equals(machine.address())).findFirst().orElse(workers.get(0));
-            network.add(new Order(this, to, machine.name, session, List.copyOf(commands)));
+            network.add(new Order(this, to, machine.name, session, List.copyOf(commands), check));
         }
 
         void tick() {
@@ -271,7 +299,15 @@
         public void rent(Rental rental) { }
 
         @Override
-        public void giveBack(List<String> machines) { }
+        public void giveBack(List<String> machines) {
+            List<String> names = List.copyOf(machines);
+            stored.add(() -> {
+                if (leads()) {
+                    names.forEach(StandbyWorld.this::replace);
+                }
+                cluster.onReturned(names, now);
+            });
+        }
     }
 
     private final Random random;
@@ -280,17 +316,27 @@
     private final List<Leader> leaders = new ArrayList<>();
     private final List<Order> network = new ArrayList<>();
     private final List<Runnable> stored = new ArrayList<>();
+    /** Copies of reports, and when they come. */
+    private record Copy(MachineReport report, double at) { }
+
+    private final List<Copy> copies = new ArrayList<>();
     private final Map<String, JobRecord> jobs = new LinkedHashMap<>();
     private final Map<Integer, List<StartedTask>> pages = new TreeMap<>();
     private final Set<String> results = new HashSet<>();
     private final Picture picture = new Picture();
     private double now = 100;
+    private int nextWorker = WORKERS + 10;
     private long terms;
     private long revision = 10;
     private long termRevision;
+    /** Nothing is lost any more. */
+    private boolean calm;
     int starts;
     int expired;
     int quick;
+    int restarts;
+    int returned;
+    int copied;
 
     StandbyWorld(long seed) {
         this(seed, 2);
@@ -347,6 +393,50 @@
         workers.get(worker % WORKERS).cut = cut;
     }
 
+    void deaf(int worker, boolean deaf) {
+        workers.get(worker % WORKERS).deaf = deaf;
+    }
+
+    void restart(int worker) {
+        workers.get(worker % WORKERS).restart();
+    }
+
+    /** The cloud takes a machine for good, with all that is on it, and gives another one in its place. */
+    private void replace(String name) {
+        for (int i = 0; i < workers.size(); i++) {
+            if (workers.get(i).name.equals(name)) {
+                workers.get(i).gone = true;
+                workers.set(i, new Worker(nextWorker++));
+                workers.get(i).leaseFrom = now;
+                returned++;
+            }
+        }
+    }
+
+    /** All troubles are over: after a while as much runs as the limit and the work that is left allow. */
+    void settle() {
+        workers.forEach(w -> {
+            w.cut = false;
+            w.deaf = false;
+        });
+        freeze(0);
+        calm = true;
+        pass(90, 0);
+        int left = 0;
+        for (JobRecord job : jobs.values()) {
+            if (job.status() == JobStatus.ACTIVE) {
+                for (int task = 0; task < job.spec().tasks(); task++) {
+                    left += results.contains(job.id() + "/" + task) ? 0 : 1;
+                }
+            }
+        }
+        int running = workers.stream().mapToInt(w -> w.on.size()).sum();
+        if (running < Math.min(left, LIMIT)) {
+            throw new AssertionError("only " + running + " of " + left + " tasks run when all is over, " + workers.stream().map(w -> w.name + " " + w.session + "." + w.seq + w.on).toList() + leaders.get(leaders.size() - 1).cluster.deposed()
+                    + leaders.get(leaders.size() - 1).cluster.machines().stream().map(Machine::toString).toList());
+        }
+    }
+
     /** How long the last leader took to its first decision, in seconds. */
     double lastLedAfter() {
         return leaders.get(leaders.size() - 1).ledAfter;
@@ -385,16 +475,30 @@
                 if (now >= o.givenUpAt) {
                     o.end(Cluster.OrderOutcome.UNANSWERED, null);
                 }
-                if (!o.to.cut && random.nextInt(10) >= late) {
+                if (o.to.gone || o.lost) {
+                    network.remove(o);
+                    o.end(o.lost ? Cluster.OrderOutcome.UNANSWERED : Cluster.OrderOutcome.NOT_SENT, null);
+                } else if (!o.to.cut && !o.to.deaf && random.nextInt(10) >= late) {
                     network.remove(o);
                     o.arrive();
                 } else if (random.nextInt(400) == 0) {
                     network.remove(o);
+                    o.end(Cluster.OrderOutcome.UNANSWERED, null);
                 }
             }
             List<Runnable> outcomes = new ArrayList<>(stored);
             stored.clear();
             outcomes.forEach(Runnable::run);
+            for (Copy c : new ArrayList<>(copies)) {
+                if (now >= c.at) {
+                    copies.remove(c);
+                    copied++;
+                    Leader to = leaders.get(leaders.size() - 1);
+                    if (now >= to.silentUntil && !to.cluster.deposed()) {
+                        to.cluster.onReport(c.report, "copy", now);
+                    }
+                }
+            }
             for (Worker w : workers) {
                 if (!w.cut && now >= w.reportAt) {
                     w.reportAt = now + REPORT_S * (0.75 + random.nextDouble() / 2);
@@ -412,8 +516,12 @@
             return;
         }
         double sentAt = now;
-        List<Command> commands = to.cluster.onReport(w.report(), now);
-        if (commands != null && random.nextInt(3) > 0 && w.obey(to.term, commands)) {
+        MachineReport report = w.report();
+        if (random.nextInt(8) == 0) {
+            copies.add(new Copy(report, now + random.nextDouble() * 3 * LEASE_S));
+        }
+        List<Command> commands = to.cluster.onReport(report, "", now);
+        if (commands != null && !w.deaf && (calm || random.nextInt(3) > 0) && w.obey(to.term, commands)) {
             w.leaseFrom = Math.max(w.leaseFrom, sentAt);
         }
     }
