--- a/src/main/java/io/kelphoist/admission/Admission.java
+++ b/src/main/java/io/kelphoist/admission/Admission.java
@@ -43,6 +43,11 @@
 
         /** Null: this controller knows none. */
         Counts counts(String job);
+
+        /** It is behind with its work: what can wait should. */
+        default boolean behind() {
+            return false;
+        }
     }
 
     /** Where transactions go; {@link Committer} outside of tests. */
@@ -73,6 +78,7 @@
     private final Map<String, Team> teams = new HashMap<>();
     private final List<String> zones;
     private final int mostValueBytes;
+    private final Unanswered unanswered = new Unanswered();
     private final EnumMap<Answer.PutOff, Long> putOff = new EnumMap<>(Answer.PutOff.class);
 
     public Admission(Reads state, Writes committer, StateClient.Loop loop, LongSupplier wallMs, Knowledge knowledge,
@@ -232,14 +238,33 @@
 
     // ---- query ----
 
-    public void query(String id, Consumer<Answer> asker) {
+    public void query(String id, Consumer<Answer> from) {
         if (!Codec.isJobId(id)) {
-            asker.accept(new Answer.Absent());
+            from.accept(new Answer.Absent());
+            return;
+        }
+        Consumer<Answer> asker = answer -> {
+            if (!(answer instanceof Answer.Later)) {
+                unanswered.answered(id);
+            } else if (unanswered.notAnswered(id, loop.now())) {
+                // Others are answered: whatever is wrong, it is wrong with what is kept of this one.
+                LOG.warn("job {} was asked about and not answered since {} s: its record is read anew", id, Math.round(unanswered.sinceS(id, loop.now())));
+                lookup.forget(id);
+            }
+            from.accept(answer);
+        };
+        if (knowledge.behind()) {
+            later(id, Answer.PutOff.BUSY, asker);
             return;
         }
         record(id, known -> show(known, asker), () -> asker.accept(new Answer.Absent()), asker);
     }
 
+    /** Jobs that were asked about in vain. */
+    public Unanswered unanswered() {
+        return unanswered;
+    }
+
     /** The state of a job; of one that waits, only after a look at what it waits for. */
     private void show(JobRecord record, Consumer<Answer> asker) {
         boolean waits = record.status() == JobStatus.ACTIVE && !record.spec().needs().isEmpty() && knowledge.counts(record.id()) == null;
--- a/src/main/java/io/kelphoist/admission/Answer.java
+++ b/src/main/java/io/kelphoist/admission/Answer.java
@@ -51,6 +51,8 @@
         /** The state service can't be asked, or its record means nothing to this version. */
         UNSURE,
         /** The state service did not take the write. */
-        NOT_STORED
+        NOT_STORED,
+        /** This controller is behind with its work. */
+        BUSY
     }
 }
--- a/src/main/java/io/kelphoist/admission/JobLookup.java
+++ b/src/main/java/io/kelphoist/admission/JobLookup.java
@@ -112,6 +112,11 @@
         });
     }
 
+    /** What is kept of a job, but for how it ended, is read anew when it is asked for. */
+    void forget(String id) {
+        mirror.ended(id);
+    }
+
     /** What was stored a moment ago: a job that ran may have ended since. */
     void recent(String id, Consumer<Found> handler) {
         JobRecord seen = mirror.get(id);
--- a/src/main/java/io/kelphoist/admission/JobMirror.java
+++ b/src/main/java/io/kelphoist/admission/JobMirror.java
@@ -143,9 +143,8 @@
         state.changes(Keys.JOBS, position, result -> {
             if (!(result instanceof StateClient.Done d)) {
                 end(now, Round.UNAVAILABLE);
-            } else if (d.status() == 200) {
+            } else if (d.status() == 200 && took(d.body())) {
                 currentAt = sentAt;
-                take(d.body());
                 end(now, Round.CURRENT);
             } else {
                 forget();
@@ -162,6 +161,17 @@
         }
     }
 
+    /** False: it can't be understood. A round that ended in an exception would leave all who joined it without an answer for ever. */
+    private boolean took(JsonNode body) {
+        try {
+            take(body);
+            return true;
+        } catch (RuntimeException e) {
+            LOG.error("changes of jobs after {}: {}", position, e.toString());
+            return false;
+        }
+    }
+
     private void take(JsonNode body) {
         for (JsonNode e : body.path("events")) {
             String key = e.has("put") ? e.path("put").asText() : e.path("delete").asText();
--- a/src/main/java/io/kelphoist/cloud/CloudClient.java
+++ b/src/main/java/io/kelphoist/cloud/CloudClient.java
@@ -13,6 +13,7 @@
 import io.kelphoist.wire.HttpCaller;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** The cloud by its protocol, within its limit of requests; renting and returning go before listing. */
@@ -56,10 +57,15 @@
         });
     }
 
-    public void rent(Rental rental, Rented handler) {
+    /** @param entitled asked in the moment of sending: who stood still meanwhile may have lost the lead */
+    public void rent(Rental rental, BooleanSupplier entitled, Rented handler) {
+        if (!entitled.getAsBoolean()) {
+            handler.on(null, false);
+            return;
+        }
         double wait = gate.waitFor(1, loop.now());
         if (!gate.take(1, loop.now())) {
-            loop.after(wait + 0.01, () -> rent(rental, handler));
+            loop.after(wait + 0.01, () -> rent(rental, entitled, handler));
             return;
         }
         calls.call("POST", "/rentals", Cbor.encode(Codec.rental(rental)), TIMEOUT_MS, reply -> {
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -57,6 +57,7 @@
     private final Allocator allocator;
     private final Fleet fleet;
     private final FirstDecision first;
+    private final Sweep sweep = new Sweep(this);
     /** What the allocator chooses among in the run under way; null: none is. */
     Candidates choosing;
     private double fastestFetch;
@@ -215,6 +216,16 @@
         }
     }
 
+    /** Compares with what is on record, see {@link Sweep#run}; returns what is to be given to {@link #onJob} again. */
+    public List<JobRecord> sweep(Collection<JobRecord> unfinished, double knownUntil, double now) {
+        return sweep.run(unfinished, knownUntil, now);
+    }
+
+    /** Jobs and tasks that were lost inside, and found. */
+    public long swept() {
+        return sweep.found();
+    }
+
     /** Done tasks as an earlier term stored them, after the jobs. */
     public void onProgressLoaded(int page, TaskProgress stored) {
         Job job = jobs.get(stored.job());
--- a/src/main/java/io/kelphoist/daemon/Caretaking.java
+++ b/src/main/java/io/kelphoist/daemon/Caretaking.java
@@ -12,6 +12,7 @@
 import io.kelphoist.core.OtherAnswers;
 import io.kelphoist.peer.CareCodec;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,7 +43,8 @@
         this.startedAt = startedAt;
         this.clockErrorMs = settings.clockErrorMs();
         this.zones = settings.peerZones();
-        mandate = new Mandate(care, zone, System.currentTimeMillis());
+        // Back within a moment, and by a clock that wanders, a process could have the number of the one before.
+        mandate = new Mandate(care, zone, ThreadLocalRandom.current().nextLong(1, 1L << 52));
     }
 
     // ---- as the leader ----
--- a/src/main/java/io/kelphoist/daemon/CloudSide.java
+++ b/src/main/java/io/kelphoist/daemon/CloudSide.java
@@ -10,6 +10,7 @@
 import io.kelphoist.wire.Codec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -118,9 +119,10 @@
         return types.stream().map(MachineType::name).toList();
     }
 
-    void rent(Rental rental) {
+    /** @param entitled whether this controller may act, asked when the request is sent */
+    void rent(Rental rental, BooleanSupplier entitled) {
         Cluster asking = leading.get();
-        cloud.rent(rental, (names, refused) -> {
+        cloud.rent(rental, entitled, (names, refused) -> {
             if (leading.get() == asking && asking != null) {
                 asking.onRented(rental, names, refused, loop.now());
                 soon.run();
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -18,6 +18,7 @@
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
 import io.kelphoist.state.StateClient;
+import io.kelphoist.state.UserReads;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
 import io.kelphoist.wire.HttpCaller;
@@ -43,11 +44,18 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final double TICK_S = 0.2;
     private static final double SOON_S = 0.015;
+    /** So late, users' polls are put off at once: reports, submissions and elections go first. */
+    private static final double BEHIND_S = 0.6;
     /** After a decision the loop is left to others for so many times as long. */
     private static final double DECISION_SHARE = 4;
     private static final double LOAD_EVERY_S = 5;
     private static final double NEWS_EVERY_S = 1.0;
-    private static final int STATE_CONNECTIONS = 6;
+    private static final int STATE_CONNECTIONS = 5;
+    /** Leases, one transaction, the leader's keys. */
+    private static final int URGENT_CONNECTIONS = 3;
+    /** Of the state service's requests, for each of three controllers at the worst of times; and what of that users' questions may take. */
+    private static final double STATE_SHARE = 0.45;
+    private static final double USER_SHARE = 0.6;
     /** Of the leader's key, four kinds of record, and the jobs for gRPC. */
     private static final int WATCH_CONNECTIONS = 6;
     /** What was sent may take so long to be answered when this controller stops; and so long its last word. */
@@ -83,6 +91,9 @@
     /** It decides nothing more. */
     private boolean leaving;
     private boolean tickSoon;
+    private double beatDue = Double.POSITIVE_INFINITY;
+    /** By how much the last beat came late: what this process has to do is more than it may. */
+    private double lateS;
     private double nextDecision;
     private double newsAt;
     private double loadAt;
@@ -111,8 +122,9 @@
                 }
             }
         };
-        state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, WATCH_CONNECTIONS), loop,
-                settings.stateLimits().rps() * 0.45, this::garbage);
+        state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS),
+                caller(settings.state(), HttpServing.CBOR, URGENT_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, WATCH_CONNECTIONS), loop,
+                settings.stateLimits().rps() * STATE_SHARE, this::garbage);
         followed = new Followed(state, loop);
         standby = new Standby(operator.standby(), loop);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
@@ -131,7 +143,8 @@
                 new Routes(settings.peerZones(), settings.workers().leaseS()), caretaking, connections, this::lead);
         around = new Term.Around(settings, operator, loop, state, committer, cloud, workers, followed, standby, caretaking, counters, this::soon,
                 this::happened);
-        admission = new Admission(state, committer::submit, loop, System::currentTimeMillis, new Admission.Knowledge() {
+        UserReads reads = new UserReads(state, loop, settings.stateLimits().rps() * STATE_SHARE * USER_SHARE);
+        admission = new Admission(reads, committer::submit, loop, System::currentTimeMillis, new Admission.Knowledge() {
             @Override
             public Collection<MachineType> types() {
                 return cloud.types();
@@ -141,6 +154,11 @@
             public Admission.Counts counts(String job) {
                 return counts.of(job);
             }
+
+            @Override
+            public boolean behind() {
+                return lateS > BEHIND_S;
+            }
         }, settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS());
         api = new UserApi(admission);
         beat();
@@ -167,6 +185,9 @@
     }
 
     private void beat() {
+        double now = loop.now();
+        lateS = Math.max(0, now - beatDue);
+        beatDue = now + TICK_S;
         loop.after(TICK_S, this::beat);
         tick();
     }
@@ -462,6 +483,10 @@
         return caretaking.mandated(loop.now());
     }
 
+    double lateS() {
+        return lateS;
+    }
+
     int workerConnections() {
         return connections.size();
     }
--- a/src/main/java/io/kelphoist/daemon/Leadership.java
+++ b/src/main/java/io/kelphoist/daemon/Leadership.java
@@ -21,6 +21,8 @@
     /** The leader is quiet for so long: whether the state service is there is asked, and how often. */
     private static final double PROBE_AFTER_S = 1.0;
     private static final double PROBE_EVERY_S = 0.8;
+    /** Neither the state service nor any controller is heard for so long: this one is left alone with its workers. */
+    private static final double ALONE_S = 4;
 
     /** Told of terms that begin and end here. */
     interface Listener {
@@ -62,6 +64,9 @@
     private String lastLeader;
     private double leaderChangedAt = Double.NEGATIVE_INFINITY;
     private double peerStateOk = Double.NEGATIVE_INFINITY;
+    /** When another controller was heard last, and when they are looked for again. */
+    private double peerHeardAt = Double.NEGATIVE_INFINITY;
+    private double lookAt;
     private double keysAt = Double.NEGATIVE_INFINITY;
     private double probeAt;
 
@@ -88,6 +93,20 @@
         }
         election.tick(loop.now());
         probe(loop.now());
+        look(loop.now());
+    }
+
+    /** Without the state service it matters whether others are there: alone, this controller can tell users nothing. */
+    private void look(double now) {
+        if (now >= lookAt && state.failingFor() > 1 && now - peerHeardAt > PROBE_EVERY_S) {
+            lookAt = now + PROBE_EVERY_S;
+            // Any answer will do, and every version has one for this.
+            peers.names().forEach(peer -> peers.call(peer, "/peer/events", Cbor.map(), PEER_TIMEOUT_MS, answer -> {
+                if (answer != null) {
+                    peerHeardAt = loop.now();
+                }
+            }));
+        }
     }
 
     /** Where the leader is quiet it matters whether the state service is, too: a watch alone tells that seconds later. */
@@ -111,7 +130,7 @@
             return;
         }
         reading = true;
-        state.range(Keys.LEADERSHIP, range -> {
+        state.urgentRange(Keys.LEADERSHIP, range -> {
             reading = false;
             if (range == null) {
                 loop.after(0.25, this::readKeys);
@@ -181,7 +200,7 @@
     }
 
     private void take(long lease, double sentAt) {
-        state.range(Keys.LEADERSHIP, range -> {
+        state.urgentRange(Keys.LEADERSHIP, range -> {
             if (range == null) {
                 failed(lease);
                 return;
@@ -282,6 +301,7 @@
         listener.asking(peer, body);
         peers.call(peer, "/peer/grant", body, PEER_TIMEOUT_MS, answer -> {
             if (answer != null && answer.status() == 200) {
+                peerHeardAt = loop.now();
                 if (answer.body().path("granted").asBoolean()) {
                     election.onGranted(peer, term, sentAt);
                 }
@@ -301,6 +321,7 @@
     }
 
     void heardLeader(String node) {
+        peerHeardAt = loop.now();
         leaderHeardFrom = node;
         leaderHeardAt = loop.now();
     }
@@ -311,9 +332,14 @@
                 || now - leaderChangedAt < LEADER_QUIET_S;
     }
 
-    /** True if this controller alone seems to have lost the state service. */
+    /**
+     * True if this controller alone seems to have lost the state service: others say that they reach it, or there is nobody
+     * to say anything. Where all have lost it they hear each other, and none sends its users away.
+     */
     boolean aloneWithoutState() {
-        return state.failingFor() > 2 && loop.now() - peerStateOk < 2.5;
+        double now = loop.now();
+        boolean nobodyThere = !peers.names().isEmpty() && state.failingFor() > ALONE_S && now - peerHeardAt > ALONE_S;
+        return state.failingFor() > 2 && (now - peerStateOk < 2.5 || nobodyThere);
     }
 
     @Override
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -45,6 +45,7 @@
         gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
         gauge("kelphoist.term", "Last term led here", x -> x.election().term());
         gauge("kelphoist.jobs", "Unfinished jobs, on the leader", x -> cluster(x, k -> k.jobs().size()));
+        gauge("kelphoist.swept", "Jobs and tasks that were lost inside and found, in this term", x -> cluster(x, Cluster::swept));
         gauge("kelphoist.machines", "Machines, on the leader", x -> cluster(x, k -> k.machines().size()));
         gauge("kelphoist.machines.up", "Machines that report, on the leader",
                 x -> cluster(x, k -> k.machines().stream().filter(m -> m.state() == Machine.State.UP).count()));
@@ -70,6 +71,9 @@
         gauge("kelphoist.mandate", "1 while this controller may renew leases if the leader is quiet", x -> x.mandated() ? 1 : 0);
         gauge("kelphoist.connections.workers", "Connections that workers keep to this controller", Controller::workerConnections);
         gauge("kelphoist.connections.orders", "Connections to workers, for orders", Controller::orderLines);
+        gauge("kelphoist.loop.late.seconds", "By how much the event loop's last beat came late", Controller::lateS);
+        gauge("kelphoist.jobs.unanswered", "Jobs that were asked about and not answered since", x -> x.admission().unanswered().size());
+        gauge("kelphoist.jobs.unanswered.seconds", "How long the first of them waits", x -> x.admission().unanswered().longestS(System.nanoTime() * 1e-9));
         gauge("kelphoist.writes.waiting", "Writes that wait for the state service", Controller::writesWaiting);
     }
 
--- a/src/main/java/io/kelphoist/daemon/Term.java
+++ b/src/main/java/io/kelphoist/daemon/Term.java
@@ -39,6 +39,7 @@
     /** Questions to machines at a time in a take-over: a part of the connections for orders, and no more than are soon answered. */
     private static final int QUESTION_PART = 2;
     private static final int MOST_QUESTIONS = 128;
+    private static final double SWEEP_EVERY_S = 10;
 
     private final Around around;
     private final Election election;
@@ -48,6 +49,7 @@
     private final Cluster cluster;
     private final Store store;
     private final double beganAt;
+    private double sweepAt;
     private boolean loaded;
     private boolean ended;
 
@@ -111,6 +113,10 @@
     void decide(double now) {
         takeOver.run(cluster.machines(), now);
         cluster.tick(now);
+        if (now >= sweepAt && takeOver.mayDecide(now)) {
+            sweepAt = now + SWEEP_EVERY_S;
+            cluster.sweep(around.followed.mirror().unfinishedJobs(), around.followed.knownUntil(), now).forEach(store::job);
+        }
     }
 
     /** Its lease is kept; what it says is taken in once the records are. */
@@ -239,11 +245,20 @@
 
     @Override
     public void rent(Rental rental) {
-        around.cloud.rent(rental);
+        around.cloud.rent(rental, () -> !ended && election.mayAct(now()));
     }
 
     @Override
     public void giveBack(List<String> machines) {
-        around.cloud.giveBack(machines);
+        if (election.mayAct(now())) {
+            around.cloud.giveBack(machines);
+        } else {
+            // What it was about to return may be in use by another leader.
+            around.loop.after(0, () -> {
+                if (!ended) {
+                    cluster.onReturnFailed(now());
+                }
+            });
+        }
     }
 }
--- a/src/main/java/io/kelphoist/grpc/Statuses.java
+++ b/src/main/java/io/kelphoist/grpc/Statuses.java
@@ -26,6 +26,7 @@
                 case TYPES_UNKNOWN -> "the machine types are not known yet";
                 case UNSURE -> "the state service can't be asked";
                 case NOT_STORED -> "the state service did not take it";
+                case BUSY -> "this controller is behind with its work";
             }, l.afterS());
         }
         return Status.NOT_FOUND.withDescription("there is no such job").asRuntimeException();
--- a/src/main/java/io/kelphoist/standby/Mirror.java
+++ b/src/main/java/io/kelphoist/standby/Mirror.java
@@ -5,6 +5,7 @@
 import io.kelphoist.core.TaskProgress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -142,6 +143,10 @@
         return mandates;
     }
 
+    public Collection<JobRecord> unfinishedJobs() {
+        return Collections.unmodifiableCollection(unfinished.values());
+    }
+
     public int unfinished() {
         return unfinished.size();
     }
--- a/src/main/java/io/kelphoist/state/StateClient.java
+++ b/src/main/java/io/kelphoist/state/StateClient.java
@@ -41,6 +41,7 @@
     private static final double MOST_WAIT_S = 2.0;
 
     private final HttpCaller calls;
+    private final HttpCaller urgentCalls;
     private final HttpCaller watches;
     private final Loop loop;
     private final RateGate requests;
@@ -48,10 +49,14 @@
     private double lastOk;
     private double failingSince = Double.NaN;
 
-    /** @param garbage told of answers that can't be understood; each is treated as none */
-    public StateClient(HttpCaller calls, HttpCaller watches, Loop loop, double rps, Consumer<String> garbage) {
+    /**
+     * @param urgentCalls connections of what must never wait behind users' questions: leases, writes, the leader's keys
+     * @param garbage told of answers that can't be understood; each is treated as none
+     */
+    public StateClient(HttpCaller calls, HttpCaller urgentCalls, HttpCaller watches, Loop loop, double rps, Consumer<String> garbage) {
         this.garbage = garbage;
         this.calls = calls;
+        this.urgentCalls = urgentCalls;
         this.watches = watches;
         this.loop = loop;
         this.requests = new RateGate(rps, 0.8);
@@ -71,15 +76,20 @@
     /** Page by page. */
     @Override
     public void range(String prefix, Consumer<Range> handler) {
-        page(prefix, "", new ArrayList<>(), -1, handler);
+        page(prefix, "", new ArrayList<>(), -1, false, handler);
+    }
+
+    /** The same, before all that can wait: for what an election hangs on. */
+    public void urgentRange(String prefix, Consumer<Range> handler) {
+        page(prefix, "", new ArrayList<>(), -1, true, handler);
     }
 
     /** Items and a revision that is not newer than any of the pages. */
     public record Range(List<JsonNode> items, long revision) { }
 
-    private void page(String prefix, String after, List<JsonNode> items, long revision, Consumer<Range> handler) {
+    private void page(String prefix, String after, List<JsonNode> items, long revision, boolean urgent, Consumer<Range> handler) {
         String path = "/kv?starts=" + encode(prefix) + "&limit=" + PAGE + (after.isEmpty() ? "" : "&after=" + encode(after));
-        send("GET", path, null, false, result -> {
+        send("GET", path, null, urgent, result -> {
             if (!(result instanceof Done d) || d.status() != 200 || !d.body().path("items").isArray()) {
                 handler.accept(null);
                 return;
@@ -87,7 +97,7 @@
             d.body().get("items").forEach(items::add);
             long first = revision < 0 ? d.body().path("logbook").asLong() : revision;
             if (d.body().path("has_next").asBoolean() && !items.isEmpty()) {
-                page(prefix, items.get(items.size() - 1).path("key").asText(), items, first, handler);
+                page(prefix, items.get(items.size() - 1).path("key").asText(), items, first, urgent, handler);
             } else {
                 handler.accept(new Range(items, first));
             }
@@ -159,7 +169,7 @@
             }
             return;
         }
-        calls.call(method, path, body, TIMEOUT_MS, reply -> handler.accept(result(reply)));
+        (urgent ? urgentCalls : calls).call(method, path, body, TIMEOUT_MS, reply -> handler.accept(result(reply)));
     }
 
     private Result result(HttpCaller.Reply reply) {
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -29,6 +29,8 @@
     private TakeOver takeOver;
     /** Machines that were asked for a report, and with which session. */
     private final Map<String, Long> questions = new TreeMap<>();
+    /** What the last sweep found. */
+    private final List<String> lost = new ArrayList<>();
     /** Machines that were asked whether they hear. */
     private final Set<String> checks = new TreeSet<>();
     private double now;
@@ -110,6 +112,18 @@
                 assertTrue(checks.remove(w[1]), "was not checked");
                 cluster.onChecked(w[1], Cluster.OrderOutcome.valueOf(w[2].toUpperCase()), answerOf(w, with), now);
             }
+            case "sweep" -> {
+                List<JobRecord> onRecord = new ArrayList<>();
+                for (int i = 2; i < w.length; i++) {
+                    onRecord.add(new JobRecord(w[i], spec(w[i], Map.of()), JobStatus.ACTIVE, 0, version));
+                }
+                lost.clear();
+                cluster.sweep(onRecord, Double.parseDouble(w[1]), now).forEach(r -> {
+                    lost.add(r.id());
+                    cluster.onJob(r, 0, now);
+                });
+            }
+            case "mislay" -> cluster.jobs.get(w[1]).pending.clear();
             case "starts-store" -> startsStoreWorks = w[1].equals("works");
             case "images-store" -> imagesOutcome = PageOutcome.valueOf(w[1].toUpperCase());
             case "starts-stored" -> cluster.onStartsStored(Integer.parseInt(w[1]), PageOutcome.STORED);
@@ -328,6 +342,7 @@
                     .map(p -> p.job().spec.id() + "/" + p.task()).collect(Collectors.joining(" ")));
             case "questions" -> assertEquals(rest(w, 2), questions.isEmpty() ? "none" : questions.entrySet().stream()
                     .map(q -> q.getKey() + "@" + q.getValue()).collect(Collectors.joining(" ")));
+            case "lost" -> assertEquals(rest(w, 2), lost.isEmpty() ? "none" : String.join(" ", lost));
             case "checks" -> assertEquals(rest(w, 2), checks.isEmpty() ? "none" : String.join(" ", checks));
             case "hearing" -> assertEquals(w[3], cluster.machines.get(w[2]).hearing.state().name().toLowerCase());
             case "check" -> assertEquals(Boolean.valueOf(w[3]), !Double.isNaN(takeOver.passedAfter(Check.valueOf(w[2]))));
