Jobs with a mistake are tried with little at a time, and away from where they failed

A job that fails everywhere was started whole again after each pause, made room for itself and had machines rented; and one that failed twice on the same machine, which cached its image, had that machine blamed. Now it keeps away from a machine where it failed for 10 s, is tried with one task (a gang whole) once three machines say the same, and neither holds machines nor asks for them meanwhile. One error no longer holds a whole array back for as long as its tasks on that machine were many. Scenarios bad-job-does-not-taint-machines, job-with-a-mistake-is-tried-alone.

--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -52,6 +52,7 @@
         Map<TeamState, List<Job>> waiting = new LinkedHashMap<>();
         for (Job job : cluster.jobs.values()) {
             if (job.active() && !job.pending.isEmpty() && now >= job.retryAt) {
+                job.waits(now);
                 waiting.computeIfAbsent(job.team, k -> new ArrayList<>()).add(job);
             }
         }
--- a/src/main/java/io/kelphoist/core/ArrayScheduler.java
+++ b/src/main/java/io/kelphoist/core/ArrayScheduler.java
@@ -15,7 +15,7 @@
     @Override
     public boolean consider(Offer offer, Job job) {
         int task = job.pending.nextSetBit(0);
-        if (task < 0 || !job.team.withinLimit(job.spec.perTask())) {
+        if (task < 0 || job.onTrial(offer.now()) || !job.team.withinLimit(job.spec.perTask())) {
             return false;
         }
         Machine m = offer.candidates().best(offer, job);
--- a/src/main/java/io/kelphoist/core/Attempts.java
+++ b/src/main/java/io/kelphoist/core/Attempts.java
@@ -38,6 +38,9 @@
         if (!ran && !Double.isNaN(p.runningSince)) {
             p.job.running++;
             p.job.gangRan = true;
+            if (p.job.suspect()) {
+                p.job.triedAt = now;
+            }
             cluster.effects.happened(p.job, new Happening.Running(p.task, p.machine.name));
             LOG.debug("{} {} task {}/{} runs on {} {} s after it was accepted, {} s after its start", p.job.spec.jobClass(), p.job.spec.kind(),
                     p.job.spec.id(), p.task, p.machine.name, Cluster.round(now - p.job.acceptedAt), Cluster.round(now - p.sentAt));
@@ -51,6 +54,7 @@
         Job job = p.job;
         LOG.debug("task {}/{} attempt {} on {} exited: {}", job.spec.id(), p.task, p.attempt, p.machine.name, t.exit());
         if (t.exit() == ExitReason.DONE && job.active()) {
+            job.worked();
             if (job.spec.kind() == JobKind.GANG) {
                 // A gang completes together.
                 job.done.set(0, job.spec.tasks());
@@ -100,13 +104,15 @@
     private void failed(Placement p, double now) {
         Job job = p.job;
         Machine m = p.machine;
-        job.errors++;
+        boolean wasSuspect = job.suspect();
+        job.failed(!m.failedJobs.contains(job), now);
         if (!m.failedJobs.contains(job)) {
-            job.errorMachines++;
             m.failedJobs.add(job);
         }
-        job.retryAt = now + Math.min(60, 0.5 * Math.pow(2, Math.min(job.errors, 8)));
-        LOG.info("task {}/{} failed on {} ({} errors of the job)", job.spec.id(), p.task, m.name, job.errors);
+        LOG.info("task {}/{} failed on {} ({} errors of the job on {} machines)", job.spec.id(), p.task, m.name, job.errors, job.errorMachines);
+        if (job.suspect() && !wasSuspect) {
+            LOG.warn("job {} fails on every machine: it is tried with little at a time until it works or is cancelled", job.spec.id());
+        }
         long blamed = m.failedJobs.stream().filter(j -> !j.suspect()).count();
         if (blamed >= 2 && m.state() == Machine.State.UP) {
             LOG.warn("machine {} failed {} different jobs, it is drained and returned", m.name, blamed);
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -141,10 +141,10 @@
     }
 
     private void demand(Job job, List<Room> rooms, Map<Kind, Integer> wanted, double now) {
-        if (job.gangRan) {
+        if (job.gangRan || job.onTrial(now)) {
             return;
         }
-        int tasks = Math.min(MOST_TASKS_PER_JOB, job.pending.cardinality() - covered(job));
+        int tasks = Math.min(MOST_TASKS_PER_JOB, job.startable() - covered(job));
         int allowed = job.team.tasksWithinLimit(job.spec.perTask(), tasks);
         int[] inZone = job.perZone.clone();
         int common = job.commonZone();
--- a/src/main/java/io/kelphoist/core/GangScheduler.java
+++ b/src/main/java/io/kelphoist/core/GangScheduler.java
@@ -48,7 +48,7 @@
             }
             return true;
         }
-        if (!preemption.makesRoom(job, now)) {
+        if (!job.suspect() && !preemption.makesRoom(job, now)) {
             hold(job, places, now);
         }
         return false;
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -19,6 +19,12 @@
         CANCELLING, DONE, CANCELLED
     }
 
+    private static final double AVOIDS_S = 10;
+    /** What runs for so long works. */
+    private static final double TRIAL_S = 20;
+    /** Between two attempts at a job that fails everywhere, in seconds. */
+    private static final double MOST_BACKOFF_S = 60;
+
     public final JobSpec spec;
     final TeamState team;
     final int image;
@@ -54,6 +60,9 @@
     double declinedAt = Double.NEGATIVE_INFINITY;
     int errors;
     int errorMachines;
+    private boolean avoids;
+    /** When a task of it began to run last while it was suspect. */
+    double triedAt = Double.POSITIVE_INFINITY;
     /** When its oldest unplaced work began to wait. */
     double waitingSince;
     /** When the pieces held for it are released; 0: none are. */
@@ -129,11 +138,55 @@
         return running;
     }
 
-    /** A job with the same mistake on every machine: not the machines' fault. */
+    /**
+     * A job with the same mistake on every machine: not the machines' fault. Until something of it works it is tried with one
+     * task, or one gang, at a time: no room is made or rented for more.
+     */
     boolean suspect() {
         return errorMachines >= 3;
     }
 
+    /** A task of it failed; {@code anew}: on a machine where none had. */
+    void failed(boolean anew, double now) {
+        errors++;
+        errorMachines += anew ? 1 : 0;
+        avoids = true;
+        // Of one machine only the machine may be to blame, and the next attempt goes elsewhere.
+        retryAt = now + (suspect() ? Math.min(MOST_BACKOFF_S, 0.5 * Math.pow(2, Math.min(errors, 8))) : errorMachines * errorMachines);
+    }
+
+    /** A task of it works: whatever failed before is not the job's mistake. */
+    void worked() {
+        errors = 0;
+        errorMachines = 0;
+        avoids = false;
+    }
+
+    /** It keeps away from machines where it failed, as others tell whose mistake that was; not for long, as there may be none. */
+    boolean avoids() {
+        return avoids && !suspect();
+    }
+
+    /** It waits for room. */
+    void waits(double now) {
+        if (avoids && now > retryAt + AVOIDS_S) {
+            avoids = false;
+        }
+    }
+
+    /** It is suspect, and what is tried of it is out: nothing else starts until that has gone well for a while. */
+    boolean onTrial(double now) {
+        if (suspect() && running > 0 && now > triedAt + TRIAL_S) {
+            worked();
+        }
+        return suspect() && !at.isEmpty();
+    }
+
+    /** How many of its waiting tasks may start now. */
+    int startable() {
+        return suspect() && spec.kind() != JobKind.GANG ? Math.min(1, pending.cardinality()) : pending.cardinality();
+    }
+
     /** Its own, or that of a job that needs it. */
     Priority priority() {
         return priority;
--- a/src/main/java/io/kelphoist/core/Placing.java
+++ b/src/main/java/io/kelphoist/core/Placing.java
@@ -11,7 +11,8 @@
 
     /** Type, zone and kind, given where the job's other tasks are or may be. */
     static boolean allowed(Job job, Machine m) {
-        return allowed(job, m.type, m.zone, m.spot) && !triedHere(job, m);
+        // Where it failed once the machine may be to blame: what another one says tells.
+        return allowed(job, m.type, m.zone, m.spot) && !triedHere(job, m) && !(job.avoids() && m.failedJobs.contains(job));
     }
 
     static boolean allowed(Job job, MachineType type, int zone, boolean spot) {
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -48,7 +48,7 @@
             boolean guaranteed = job.team.withinGuarantee(need);
             double patience = job.priority().compareTo(Priority.HIGH) >= 0 ? 0 : PATIENCE_S;
             if (job.spec.kind() == JobKind.ARRAY && !guaranteed || now - job.waitingSince < patience
-                    || now < job.machineFilterUntil || job.gangRan || job.declinedAt == now) {
+                    || now < job.machineFilterUntil || job.gangRan || job.declinedAt == now || job.suspect()) {
                 continue;
             }
             if (!job.team.withinLimit(need)) {
@@ -142,7 +142,7 @@
      * a deadline is not stopped for a start that is soon enough for its class anyway.
      */
     boolean beats(double fetchS, Job job, double now) {
-        if (fetchS < WORTH_STOPPING_S) {
+        if (fetchS < WORTH_STOPPING_S || job.suspect()) {
             return false;
         }
         if (!job.heldOn.isEmpty()) {
