Boots are learned by type and zone; a zone that boots late is waited for

Where all machines of a zone took several times as long, each was given up after 3.5 times the usual and the next rented into the same trouble. One is given up then only if a later one is up, or after 8 times; and one that is as late as others were is still counted on, so that nothing is rented twice for the same need.

--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -85,10 +85,11 @@
         progress = new ProgressRecords(policy, effects);
         cached = new ImageRecords(policy, images, this::gbOf, effects);
         dependencies = new Dependencies(jobs, effects);
-        intake = new Intake(this, new Attempts(this, progress, cached), starts, first);
+        Boots boots = new Boots();
+        intake = new Intake(this, new Attempts(this, progress, cached), starts, first, boots);
         leases = new Leases(this, others);
         allocator = new Allocator(this);
-        fleet = new Fleet(this, first);
+        fleet = new Fleet(this, first, boots);
     }
 
     public void setTypes(Collection<MachineType> list) {
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -13,10 +13,6 @@
 final class Fleet {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final double EVERY_S = 0.5;
-    /** A boot that takes longer than this many times the usual is no longer counted on... */
-    private static final double SLOW_BOOT = 1.8;
-    /** ...and given up after this many. */
-    private static final double DEAD_BOOT = 3.5;
     private static final double SUMMARY_EVERY_S = 5;
     private static final double REFUSED_FOR_S = 15;
     private static final double LOST_FOR_S = 20;
@@ -52,6 +48,7 @@
     private final Cluster cluster;
     private final FirstDecision first;
     private final Consolidation consolidation;
+    private final Boots boots;
     private final Listings listings = new Listings();
     private final Map<Kind, Double> refusedUntil = new HashMap<>();
     private final Map<Kind, Integer> counts = new HashMap<>();
@@ -64,7 +61,8 @@
     private double nextDeaf;
     private long requests;
 
-    Fleet(Cluster cluster, FirstDecision first) {
+    Fleet(Cluster cluster, FirstDecision first, Boots boots) {
+        this.boots = boots;
         this.cluster = cluster;
         this.first = first;
         this.consolidation = new Consolidation(cluster);
@@ -124,7 +122,7 @@
     private List<Room> rooms(double now) {
         List<Room> rooms = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
-            boolean booting = m.state() == Machine.State.BOOTING && now - m.rentedAt < SLOW_BOOT * m.type.bootS();
+            boolean booting = m.state() == Machine.State.BOOTING && boots.expected(m, now);
             if (booting || m.state() == Machine.State.JOINING && !m.quiet) {
                 rooms.add(new Room(m.type, m.zone, m.spot, m.type.capacity(), true));
             } else if (m.takesWork(now)) {
@@ -347,7 +345,7 @@
         for (Machine m : candidates) {
             switch (m.state()) {
                 case BOOTING -> {
-                    if (now - m.rentedAt > DEAD_BOOT * m.type.bootS()) {
+                    if (boots.givenUp(m, now)) {
                         leave(m, "never came up", now);
                     }
                 }
--- a/src/main/java/io/kelphoist/core/Intake.java
+++ b/src/main/java/io/kelphoist/core/Intake.java
@@ -16,9 +16,11 @@
     private final Attempts attempts;
     private final StartRecords starts;
     private final FirstDecision first;
+    private final Boots boots;
     private boolean deposed;
 
-    Intake(Cluster cluster, Attempts attempts, StartRecords starts, FirstDecision first) {
+    Intake(Cluster cluster, Attempts attempts, StartRecords starts, FirstDecision first, Boots boots) {
+        this.boots = boots;
         this.cluster = cluster;
         this.attempts = attempts;
         this.starts = starts;
@@ -183,6 +185,7 @@
         m.confirmed = true;
         if (m.state() == Machine.State.BOOTING || m.state() == Machine.State.JOINING || m.state() == Machine.State.LOST) {
             if (m.state() == Machine.State.BOOTING) {
+                boots.up(m, now);
                 LOG.info("machine {} ({}, {}{}) is up after {} s", m.name, m.type.name(), cluster.zones.name(m.zone), m.spot ? ", spot" : "",
                         Math.round(now - m.rentedAt));
             }
