--- a/src/test/java/io/kelphoist/care/CareWorld.java
+++ b/src/test/java/io/kelphoist/care/CareWorld.java
@@ -57,6 +57,8 @@
     private final PriorityQueue<Message> flying = new PriorityQueue<>(Comparator.comparingDouble(Message::at));
     private final boolean[][] cut = new boolean[3][3];
     private final boolean[] workerCut = new boolean[3];
+    private final boolean[] deaf = new boolean[3];
+    int quickly;
     private final Map<String, Double> onRecord = new LinkedHashMap<>();
     private final Deque<Runnable> held = new ArrayDeque<>();
     double now;
@@ -117,8 +119,13 @@
 
     /** Cuts a link, or mends it: what was held is delivered then. */
     void link(int a, int b, boolean isCut) {
-        cut[a][b] = isCut;
         cut[b][a] = isCut;
+        oneWay(a, b, isCut);
+    }
+
+    /** The same for one direction: questions come and answers don't, or the other way round. */
+    void oneWay(int a, int b, boolean isCut) {
+        cut[a][b] = isCut;
         if (!isCut) {
             held.forEach(what -> flying.add(new Message(now, what)));
             held.clear();
@@ -129,10 +136,17 @@
         workerCut[node] = isCut;
     }
 
-    void crash(int node) {
+    /** The worker's reports reach a controller, but its answers don't reach the worker. */
+    void workerDeaf(int node, boolean isDeaf) {
+        deaf[node] = isDeaf;
+    }
+
+    /** @param backS after which it is back, remembering nothing: perhaps before anybody noticed */
+    void crash(int node, double backS) {
         Node n = nodes.get(node);
         n.up = false;
-        flying.add(new Message(now + 5, () -> born(n)));
+        flying.add(new Message(now + backS, () -> born(n)));
+        quickly += backS < 1 ? 1 : 0;
     }
 
     /** Another controller takes over, once the leader's own time is surely over. */
@@ -274,9 +288,13 @@
                 continue;
             }
             if (n == leader && mayAct()) {
+                lastAnswer = n.clock(now);
+                if (deaf[i]) {
+                    // It counts as answered, and the worker tries the next one.
+                    continue;
+                }
                 workerLease = now + LEASE_S / workerRate;
                 token = term;
-                lastAnswer = n.clock(now);
                 counted = false;
                 stopped |= n.clock(toldAt) <= knownUntil;
                 return;
@@ -286,6 +304,9 @@
                 if (n == leader) {
                     caretakers.caredHere(n.clock(now));
                 }
+                if (deaf[i]) {
+                    continue;
+                }
                 workerLease = now + LEASE_S / workerRate;
                 cares++;
                 return;
--- a/src/test/java/io/kelphoist/care/CaretakingTest.java
+++ b/src/test/java/io/kelphoist/care/CaretakingTest.java
@@ -23,7 +23,7 @@
         switch (step % 10) {
             case 0, 1 -> world.link(node, (node + 1) % 3, on);
             case 2, 3 -> world.workerLink(node, on);
-            case 4 -> world.crash(node);
+            case 4 -> world.crash(node, step / 120 % 2 == 0 ? 0.1 : 5);
             case 5 -> world.takeOver(node);
             case 6 -> world.cancel();
             case 8 -> world.blind();
@@ -34,7 +34,13 @@
                     world.workerLink(outside, on);
                 }
             }
-            default -> { }
+            default -> {
+                if (step / 120 % 2 == 0) {
+                    world.oneWay(node, (node + 1 + step / 240 % 2) % 3, on);
+                } else {
+                    world.workerDeaf(node, on);
+                }
+            }
         }
         world.pass(0.25 + step / 120);
     }
