--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -158,7 +158,7 @@
                 }
             }
             if (room == null) {
-                Kind kind = choose(job, inZone, common, now);
+                Kind kind = choose(job, inZone, common, i > 0, now);
                 if (kind == null) {
                     return;
                 }
@@ -186,14 +186,19 @@
                 && (common < 0 || common == zone) && inZone[zone] < job.spec.zoneCap() && job.spec.perTask().fitsIn(type.capacity());
     }
 
-    /** The cheapest kind that is not known to be refused; among equals the zone with the fewest machines. */
-    private Kind choose(Job job, int[] inZone, int common, double now) {
+    /**
+     * The cheapest kind that is not known to be refused; among equals the zone with the fewest machines. A guest gets what is
+     * unused, and cheap machines: ordinary ones would be taken from whoever is guaranteed them, at twice their worth. For a
+     * job of a guest that has nothing yet, one is rented all the same, so that it begins.
+     */
+    private Kind choose(Job job, int[] inZone, int common, boolean begun, double now) {
+        boolean cheapOnly = job.team.team.guest() && job.spec.spotAllowed() && (begun || !job.at.isEmpty() || job.doneCount() > 0);
         Kind best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (MachineType type : cluster.types.values()) {
             for (String zoneName : type.zones()) {
                 int zone = cluster.zones.of(zoneName);
-                for (int spot = 0; spot < 2; spot++) {
+                for (int spot = cheapOnly ? 1 : 0; spot < 2; spot++) {
                     Kind kind = new Kind(type.name(), zone, spot == 1);
                     if (!fits(job, type, zone, kind.spot, inZone, common) || now < refusedUntil.getOrDefault(kind, 0.0)) {
                         continue;
--- /dev/null
+++ b/src/test/java/io/kelphoist/cloud/CloudClientTest.java
@@ -0,0 +1,64 @@
+package io.kelphoist.cloud;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import io.kelphoist.core.Rental;
+import io.kelphoist.state.StateClient;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.junit.jupiter.api.Test;
+
+class CloudClientTest {
+    private final Deque<Runnable> timers = new ArrayDeque<>();
+    private double now = 100;
+    private boolean entitled = true;
+    private int ended;
+
+    private final StateClient.Loop loop = new StateClient.Loop() {
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public void after(double seconds, Runnable task) {
+            timers.add(task);
+        }
+    };
+
+    private void end(java.util.List<String> names, boolean refused) {
+        assertNull(names);
+        assertEquals(false, refused);
+        ended++;
+    }
+
+    /**
+     * Decided while it led, due when it does not any more, as the process stood still in between: a rental that waits for its
+     * turn is not sent, and counts as unsure. Without connections anything that is sent ends in an exception.
+     */
+    @Test
+    void whatWaitsIsSentOnlyByWhoMayActThen() {
+        CloudClient cloud = new CloudClient(null, loop, 1, what -> { });
+        Rental rental = new Rental("r", "g8", "a", false, 1);
+        entitled = false;
+        cloud.rent(rental, () -> entitled, this::end);
+        assertEquals(1, ended);
+        entitled = true;
+        // The budget is used up by a list that can't be sent here; the rental waits for its turn.
+        for (int i = 0; i < 10; i++) {
+            try {
+                cloud.types(list -> { });
+            } catch (NullPointerException e) {
+                now += 0;
+            }
+        }
+        cloud.rent(rental, () -> entitled, this::end);
+        assertEquals(1, ended);
+        assertEquals(1, timers.size());
+        now += 25;
+        entitled = false;
+        timers.poll().run();
+        assertEquals(2, ended);
+    }
+}
--- a/src/test/java/io/kelphoist/config/SettingsTest.java
+++ b/src/test/java/io/kelphoist/config/SettingsTest.java
@@ -53,6 +53,18 @@
         wrong("{\"label\"", "{,\"label\"", "not JSON at line 1");
     }
 
+    /** Zeros mean none. Nothing that binds nobody is a guarantee: it would be one of everything. */
+    @Test
+    void aTeamWithoutGuaranteeIsAGuest() throws IOException, Settings.Invalid {
+        Settings s = Settings.read(file(GOOD.replace("\"gpus\":4,\"gpus_max\":8", "\"gpus\":0,\"gpus_max\":0")));
+        assertTrue(s.teams().get(0).guest());
+        assertEquals(Double.POSITIVE_INFINITY, s.teams().get(0).limit().gpus());
+        assertTrue(!Settings.read(file(GOOD)).teams().get(0).guest());
+        Settings limited = Settings.read(file(GOOD.replace("\"gpus\":4", "\"gpus\":0")));
+        assertTrue(limited.teams().get(0).guest());
+        assertEquals(8, limited.teams().get(0).limit().gpus());
+    }
+
     /** Limits may change at any moment: the smaller ones hold from the start. */
     @Test
     void keepsToTheSmallerLimits() throws IOException, Settings.Invalid {
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -64,7 +64,8 @@
             case "zones" -> zones.addAll(List.of(w).subList(1, w.length));
             case "type" -> types.add(new MachineType(w[1], amounts(with), number(with, "cache", 100), number(with, "fetch", 1),
                     number(with, "price", 10), number(with, "spot", 3), number(with, "boot", 30), List.copyOf(zones)));
-            case "team" -> teams.add(new Team(w[1], gpus(number(with, "gpus", 0)), gpus(number(with, "max", 0))));
+            case "team" -> teams.add(new Team(w[1], with.containsKey("guest") ? Resources.NONE : gpus(number(with, "gpus", 0)),
+                    gpus(number(with, "max", 0))));
             case "term" -> term(Long.parseLong(w[1]));
             case "at" -> {
                 now = Double.parseDouble(w[1]);
