After a crash who follows goes first

A controller that does not follow the leader's word and the records (silent for a minute, just started) leaves the others 0.4 s before it becomes a candidate; nothing else of the election changes, and before the first term there is no wait. Scenario election-who-follows-goes-first.

--- a/src/main/java/io/kelphoist/core/Election.java
+++ b/src/main/java/io/kelphoist/core/Election.java
@@ -38,6 +38,9 @@
 
         void askForGrant(String peer, long term, double sentAt);
 
+        /** Whether this controller follows the leader and the records: if not, another one would lead sooner. */
+        boolean follows();
+
         void began(long term);
 
         void ended();
@@ -66,6 +69,8 @@
     private double nextRenew;
     private double nextAsk;
     private double notBefore;
+    /** Since when there is no leader. */
+    private double goneAt = Double.NEGATIVE_INFINITY;
     private boolean known;
     private String leader;
     private long leaderTerm;
@@ -130,6 +135,9 @@
     /** What the state service says: the leader key's holder (null: absent) and the last term (0: there never was one). */
     public void onKeys(String holder, long holderTerm, long lastTerm, double now) {
         known = true;
+        if (holder == null && leader != null) {
+            goneAt = now;
+        }
         leader = holder;
         leaderTerm = holderTerm;
         everLed = lastTerm > 0;
@@ -231,7 +239,9 @@
     public void tick(double now) {
         switch (state) {
             case FOLLOWER -> {
-                if (known && leader == null && now >= notBefore) {
+                // One that follows goes first; not for long, as there may be none, or it may be dead.
+                boolean first = !everLed || now >= goneAt + SECOND_S || actions.follows();
+                if (known && leader == null && now >= notBefore && first) {
                     to(State.CANDIDATE, now);
                 }
             }
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -49,6 +49,8 @@
     /** After a decision the loop is left to others for so many times as long. */
     private static final double DECISION_SHARE = 4;
     private static final double LOAD_EVERY_S = 5;
+    /** Records that were heard of so long ago are followed: a question for changes is held for up to 4 s. */
+    private static final double FOLLOWS_S = 5;
     private static final double NEWS_EVERY_S = 1.0;
     private static final int STATE_CONNECTIONS = 5;
     /** Leases, one transaction, the leader's keys. */
@@ -325,6 +327,11 @@
         return standby.successor();
     }
 
+    @Override
+    public boolean follows() {
+        return followed.behindS() < FOLLOWS_S && standby.follows();
+    }
+
     @Override
     public void handingOver(String peer, ObjectNode message) {
         standby.handingOver(peer, message);
--- a/src/main/java/io/kelphoist/daemon/Leadership.java
+++ b/src/main/java/io/kelphoist/daemon/Leadership.java
@@ -43,6 +43,9 @@
 
         /** Who should lead next; null: nobody in particular. */
         String successor();
+
+        /** See {@link Election.Actions#follows}. */
+        boolean follows();
     }
 
     private final String self;
@@ -259,6 +262,11 @@
         readKeys();
     }
 
+    @Override
+    public boolean follows() {
+        return listener.follows();
+    }
+
     @Override
     public void renew(long lease) {
         double sentAt = loop.now();
--- a/src/main/java/io/kelphoist/daemon/Standby.java
+++ b/src/main/java/io/kelphoist/daemon/Standby.java
@@ -69,6 +69,11 @@
         picture.forget();
     }
 
+    /** Whether what the last leader told is as good as it can be; where nothing is told, nobody is better. */
+    boolean follows() {
+        return !on || picture.whole() && picture.behindS(loop.now()) < FRESH_S;
+    }
+
     /** Adds to a request for a grant. */
     void ask(String peer, ObjectNode request, Cluster cluster) {
         if (telling == null || takeOver.state() != TakeOver.State.LEADING) {
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -53,6 +53,7 @@
     private long looked;
     private boolean startsStoreWorks = true;
     private Election election;
+    private boolean follows = true;
     private final List<String> asked = new ArrayList<>();
     private final Map<String, Double> grantAskedAt = new HashMap<>();
     private double renewAskedAt;
@@ -473,11 +474,17 @@
             case "granted" -> election.onGranted(w[1], Long.parseLong(w[2]), grantAskedAt.get(w[1]));
             case "asks" -> assertEquals(w[3], election.grant(Long.parseLong(w[2]), now) ? "yes" : "no");
             case "over" -> election.onOver(Long.parseLong(w[1]), with.containsKey("first"), now);
+            case "follows" -> follows = w[1].equals("yes");
             case "resign" -> election.resign("test", now);
             default -> throw new IllegalArgumentException(w[0]);
         }
     }
 
+    @Override
+    public boolean follows() {
+        return follows;
+    }
+
     @Override
     public void take() {
         asked.add("take");
