What waits longest is told, with its reason; what waited long goes first

A metric and a line for jobs of which nothing has begun for 90 s, with what they wait for; such a job goes before later ones of its team and priority, whatever their deadlines: a stream of those could push it back for ever.

--- a/src/main/java/io/kelphoist/core/Allocator.java
+++ b/src/main/java/io/kelphoist/core/Allocator.java
@@ -19,6 +19,7 @@
     private static final int MOST_STARTS = 200;
     static final Comparator<Job> TEAM_ORDER = Comparator
             .comparing(Job::priority).reversed()
+            .thenComparing(j -> !j.aged())
             .thenComparingDouble(Job::latestFinish)
             .thenComparingDouble(j -> j.readyAt);
 
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -58,6 +58,7 @@
     private final Fleet fleet;
     private final FirstDecision first;
     private final Sweep sweep = new Sweep(this);
+    private final Waiting waiting = new Waiting(this);
     /** What the allocator chooses among in the run under way; null: none is. */
     Candidates choosing;
     private double fastestFetch;
@@ -222,6 +223,11 @@
         return sweep.run(unfinished, knownUntil, now);
     }
 
+    /** Of the jobs of which nothing has begun, how long the first one waits, in seconds. */
+    public double longestWaitS() {
+        return waiting.longestS();
+    }
+
     /** Jobs and tasks that were lost inside, and found. */
     public long swept() {
         return sweep.found();
@@ -632,6 +638,7 @@
         if (first.mayDecide(now)) {
             allocator.run(now);
             fleet.run(allocator.unplaced(), now);
+            waiting.run(allocator.unplaced(), now);
         }
         dependencies.run(now);
         progress.run(now);
--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -20,6 +20,7 @@
     }
 
     private static final double AVOIDS_S = 10;
+    private static final double AGED_S = 90;
     /** What runs for so long works. */
     private static final double TRIAL_S = 20;
     /** Between two attempts at a job that fails everywhere, in seconds. */
@@ -61,6 +62,7 @@
     int errors;
     int errorMachines;
     private boolean avoids;
+    private boolean aged;
     /** When a task of it began to run last while it was suspect. */
     double triedAt = Double.POSITIVE_INFINITY;
     /** When its oldest unplaced work began to wait. */
@@ -167,8 +169,19 @@
         return avoids && !suspect();
     }
 
+    /** Something of it is, or may be, somewhere, or has ended. */
+    boolean begun() {
+        return !at.isEmpty() || gangRan || !done.isEmpty();
+    }
+
+    /** Nothing of it has begun for long: within its team and priority it goes before all that came later, whatever their deadlines. */
+    boolean aged() {
+        return aged;
+    }
+
     /** It waits for room. */
     void waits(double now) {
+        aged = !begun() && now > readyAt + AGED_S;
         if (avoids && now > retryAt + AVOIDS_S) {
             avoids = false;
         }
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -45,6 +45,8 @@
         gauge("kelphoist.leader", "1 while this controller leads", x -> x.election().state() == Election.State.LEADER ? 1 : 0);
         gauge("kelphoist.term", "Last term led here", x -> x.election().term());
         gauge("kelphoist.jobs", "Unfinished jobs, on the leader", x -> cluster(x, k -> k.jobs().size()));
+        gauge("kelphoist.jobs.longest.wait.seconds", "How long the job waits of which nothing has begun for longest, on the leader",
+                x -> cluster(x, Cluster::longestWaitS));
         gauge("kelphoist.swept", "Jobs and tasks that were lost inside and found, in this term", x -> cluster(x, Cluster::swept));
         gauge("kelphoist.machines", "Machines, on the leader", x -> cluster(x, k -> k.machines().size()));
         gauge("kelphoist.machines.up", "Machines that report, on the leader",
