A machine that turns to another controller although it was answered is asked

Without an order to it nothing showed that answers don't arrive until its next session, whose first report was then held back for a check and believed only with the one after.

--- a/src/main/java/io/kelphoist/core/Hearing.java
+++ b/src/main/java/io/kelphoist/core/Hearing.java
@@ -44,6 +44,8 @@
     private boolean checkedToken;
     private double mayHaveBegunAt = Double.NEGATIVE_INFINITY;
     private boolean beganAnew;
+    /** Tells of a session that can hardly be over, until a check says more; null: none does. */
+    private MachineReport unlikely;
 
     /** The one function for every change of state. */
     private void to(State next, double now) {
@@ -88,10 +90,12 @@
      *
      * @param newestSession of any message of it that was known before, with {@code newestSeq}
      * @param by the controller to which it was sent
+     * @return it went to another controller although it was answered: perhaps it was not
      */
-    void reported(MachineReport report, long newestSession, long newestSeq, String by, boolean accepted, double leaseS, double now) {
+    boolean reported(MachineReport report, long newestSession, long newestSeq, String by, double leaseS, double now) {
         // Without an answer it would have gone on to the next controller, and be back here some numbers later at the earliest.
         boolean next = report.session() == newestSession && report.seq() == newestSeq + 1 && session == newestSession;
+        boolean turnedAway = answered && next && !by.equals(via);
         if (answered && next && by.equals(via)) {
             hears(now);
         } else if (state == State.DOUBTED && now - doubtedAt > leaseS) {
@@ -100,7 +104,8 @@
         session = report.session();
         seq = report.seq();
         via = by;
-        answered = accepted;
+        answered = true;
+        return turnedAway;
     }
 
     /** A lease that is over by now can't have been renewed by the last answer: a worker waits 4 s for one, and counts from when it asked. */
@@ -126,6 +131,17 @@
         checking = false;
     }
 
+    void unlikely(MachineReport report) {
+        unlikely = report;
+    }
+
+    /** What is to be believed after all, as the machine does not hear; null: nothing. */
+    MachineReport believed() {
+        MachineReport report = unlikely;
+        unlikely = null;
+        return report;
+    }
+
     /** Whether the answer to the last check proves that the machine began anew after its newest known message. */
     boolean provesNewBeginning(MachineReport answer, long term) {
         return checkedSession > 0 && !answer.newerThan(checkedSession, checkedSeq) || checkedToken && answer.token() < term;
--- a/src/main/java/io/kelphoist/core/Intake.java
+++ b/src/main/java/io/kelphoist/core/Intake.java
@@ -58,7 +58,7 @@
         if (report.session() > m.session && m.confirmed && m.state().reports() && !m.hearing.doubted()
                 && m.hearing.answeredInVain(m.lastAnswer, cluster.policy.leaseS(), now)) {
             // Its lease can't be over unless answers were lost; or this is a copy, and the machine began anew unnoticed.
-            m.hearing.inVain(now);
+            m.hearing.unlikely(report);
             m.lastAnswer = now;
             check(m, now);
             return List.of();
@@ -66,10 +66,10 @@
         long session = m.session;
         long seq = m.seq;
         take(m, report, now);
-        m.hearing.reported(report, session, seq, via, true, cluster.policy.leaseS(), now);
+        boolean turnedAway = m.hearing.reported(report, session, seq, via, cluster.policy.leaseS(), now);
         m.lastAnswer = now;
         m.heard(now);
-        if (m.hearing.doubted()) {
+        if (m.hearing.doubted() || turnedAway) {
             check(m, now);
         }
         if (!m.state().reports() && m.state() != Machine.State.RETURNING) {
@@ -100,6 +100,10 @@
         if (report == null) {
             if (outcome != Cluster.OrderOutcome.NOT_TRIED) {
                 m.hearing.inVain(now);
+                MachineReport believed = m.hearing.believed();
+                if (believed != null) {
+                    take(m, believed, now);
+                }
             }
         } else if (report.machine().equals(machine) && report.token() <= cluster.term && m.hearing.provesNewBeginning(report, cluster.term)) {
             if (m.confirmed) {
@@ -114,6 +118,7 @@
         } else {
             if (report.machine().equals(machine)) {
                 m.hearing.goesOn();
+                m.hearing.believed();
             }
             onAnswer(report, now);
         }
