A leader back at once does not wait for its former life's lease

A process that finds the leader's key naming it, and has not tried to lead since it began, was back before its lease was over: that life is dead, so its lease is released and the election begins; what it may have granted is still waited for.

--- a/src/main/java/io/kelphoist/daemon/Leadership.java
+++ b/src/main/java/io/kelphoist/daemon/Leadership.java
@@ -11,9 +11,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Brings the election to the state service and to the other controllers. */
 final class Leadership implements Election.Actions {
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     private static final int HOLD_MS = 8000;
     private static final int PEER_TIMEOUT_MS = 800;
     /** Several times as long as between two requests for a grant. */
@@ -61,6 +64,9 @@
     private String successor;
     private long watched = -1;
     private boolean reading;
+    /** This process has tried to lead; and it has released what an earlier life left. */
+    private boolean tried;
+    private boolean released;
     private long newest = -1;
     private String leaderHeardFrom;
     private double leaderHeardAt = Double.NEGATIVE_INFINITY;
@@ -150,6 +156,7 @@
                 return;
             }
             newest = range.revision();
+            formerLife(range.items());
             long lastTerm = 0;
             JsonNode leader = null;
             for (JsonNode item : range.items()) {
@@ -164,6 +171,25 @@
         });
     }
 
+    /**
+     * The key names this controller, which has not tried to lead since it began: it led, and was back before its lease was over.
+     * That life is dead for good, so its lease need not be waited for.
+     */
+    private void formerLife(List<JsonNode> keys) {
+        boolean mine = keys.stream().anyMatch(k -> k.path("key").asText().equals(Keys.LEADER) && k.path("value").path("node").asText().equals(self));
+        if (tried || released || !mine) {
+            return;
+        }
+        released = true;
+        state.get(Keys.LEADER, result -> {
+            if (!tried && result instanceof StateClient.Done d && d.status() == 200 && d.body().path("value").path("node").asText().equals(self)
+                    && d.body().path("tether").asLong() > 0) {
+                LOG.info("term {}: led here before this process began, its lease is released", d.body().path("value").path("term").asLong());
+                state.release(d.body().path("tether").asLong(), done -> readKeys());
+            }
+        });
+    }
+
     /** Any change of the keys has them read again: they change seldom, and one reading is one truth. */
     private void watch() {
         state.watch(Keys.LEADERSHIP, watched, HOLD_MS, result -> {
@@ -192,6 +218,7 @@
 
     @Override
     public void take() {
+        tried = true;
         double sentAt = loop.now();
         state.lease(leaseMs, result -> {
             if (result instanceof StateClient.Done d && d.status() == 200) {
