--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -12,7 +12,6 @@
 import io.kelphoist.core.Happening;
 import io.kelphoist.core.Job;
 import io.kelphoist.core.MachineReport;
-import io.kelphoist.core.MachineType;
 import io.kelphoist.peer.PeerCalls;
 import io.kelphoist.sockets.SocketBudget;
 import io.kelphoist.state.Committer;
@@ -27,7 +26,6 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.RejectedExecutionException;
@@ -42,12 +40,6 @@
 /** One controller: the event loop's side of everything. All of it runs on one I/O thread. */
 public final class Controller implements Leadership.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
-    private static final double TICK_S = 0.2;
-    private static final double SOON_S = 0.015;
-    /** So late, users' polls are put off at once: reports, submissions and elections go first. */
-    private static final double BEHIND_S = 0.6;
-    /** After a decision the loop is left to others for so many times as long. */
-    private static final double DECISION_SHARE = 4;
     private static final double LOAD_EVERY_S = 5;
     /** Records that were heard of so long ago are followed: a question for changes is held for up to 4 s. */
     private static final double FOLLOWS_S = 5;
@@ -62,6 +54,7 @@
     private static final int WATCH_CONNECTIONS = 6;
     /** What was sent may take so long to be answered when this controller stops; and so long its last word. */
     private static final double SETTLE_S = 1.0;
+    private static final double SETTLE_STEP_S = 0.05;
     private static final double FAREWELL_S = 0.3;
 
     /** Counts for the metrics, by what happened. */
@@ -92,11 +85,7 @@
     private final Term.Around around;
     /** It decides nothing more. */
     private boolean leaving;
-    private boolean tickSoon;
-    private double beatDue = Double.POSITIVE_INFINITY;
-    /** By how much the last beat came late: what this process has to do is more than it may. */
-    private double lateS;
-    private double nextDecision;
+    private final Beat beat;
     private double newsAt;
     private double loadAt;
     private final JobCounts counts = new JobCounts();
@@ -124,6 +113,7 @@
                 }
             }
         };
+        beat = new Beat(loop, this::tick);
         state = new StateClient(caller(settings.state(), HttpServing.CBOR, STATE_CONNECTIONS),
                 caller(settings.state(), HttpServing.CBOR, URGENT_CONNECTIONS), caller(settings.state(), HttpServing.CBOR, WATCH_CONNECTIONS), loop,
                 settings.stateLimits().rps() * STATE_SHARE, this::garbage);
@@ -131,7 +121,7 @@
         standby = new Standby(operator.standby(), loop);
         committer = new Committer(state, loop, settings.stateLimits().writeRps() * 0.55, settings.stateLimits().txnOps());
         cloud = new CloudSide(new CloudClient(caller(settings.cloud(), HttpServing.CBOR, 2), loop, settings.cloudLimits().rps(), this::garbage),
-                state, loop, settings.cloudLimits().rps(), this::cluster, types -> term.store().types(types), this::soon);
+                state, loop, settings.cloudLimits().rps(), this::cluster, types -> term.store().types(types), beat::soon);
         SocketBudget sockets = new SocketBudget(settings.sockets());
         workers = new WorkerCalls(address -> caller(address, HttpServing.CBOR, 1), sockets.orderLines());
         connections = new WorkerConnections(sockets, settings.workers().leaseS());
@@ -143,27 +133,13 @@
         caretaking = new Caretaking(settings, operator.caretaking(), startedAt);
         reports = new Reports(leadership, peers, loop, counters,
                 new Routes(settings.peerZones(), settings.workers().leaseS()), caretaking, connections, this::lead);
-        around = new Term.Around(settings, operator, loop, state, committer, cloud, workers, followed, standby, caretaking, counters, this::soon,
+        around = new Term.Around(settings, operator, loop, state, committer, cloud, workers, followed, standby, caretaking, counters, beat::soon,
                 this::happened);
         UserReads reads = new UserReads(state, loop, settings.stateLimits().rps() * STATE_SHARE * USER_SHARE);
-        admission = new Admission(reads, committer::submit, loop, System::currentTimeMillis, new Admission.Knowledge() {
-            @Override
-            public Collection<MachineType> types() {
-                return cloud.types();
-            }
-
-            @Override
-            public Admission.Counts counts(String job) {
-                return counts.of(job);
-            }
-
-            @Override
-            public boolean behind() {
-                return lateS > BEHIND_S;
-            }
-        }, settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS());
+        admission = new Admission(reads, committer::submit, loop, System::currentTimeMillis, new Known(cloud, counts, beat),
+                settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS());
         api = new UserApi(admission);
-        beat();
+        beat.next();
         cloud.readTypes();
     }
 
@@ -186,14 +162,6 @@
         }
     }
 
-    private void beat() {
-        double now = loop.now();
-        lateS = Math.max(0, now - beatDue);
-        beatDue = now + TICK_S;
-        loop.after(TICK_S, this::beat);
-        tick();
-    }
-
     /** What the leader's time went into, for whoever looks for a slow one. */
     private void tellLoad(double now) {
         if (now >= loadAt) {
@@ -213,8 +181,7 @@
             led.decide(now);
             counters.decisions++;
             counters.decisionS += loop.now() - now;
-            // A decision over a large fleet takes a while, above all in a process that just began: reports go first.
-            nextDecision = now + DECISION_SHARE * (loop.now() - now);
+            beat.decided(loop.now() - now, now);
             if (term != led) {
                 // What a decision found out, such as a write that says that the term has moved on, has ended it.
                 return;
@@ -233,17 +200,6 @@
         connections.sweep(now);
     }
 
-    /** Input often comes in bursts; one tick serves them all. */
-    private void soon() {
-        if (!tickSoon) {
-            tickSoon = true;
-            loop.after(Math.max(SOON_S, nextDecision - loop.now()), () -> {
-                tickSoon = false;
-                tick();
-            });
-        }
-    }
-
     // ---- leadership ----
 
     @Override
@@ -358,7 +314,7 @@
     private void leave(double until, Runnable left) {
         boolean settled = term == null || !term.cluster().ordersOpen() && committer.waiting() == 0;
         if (!settled && loop.now() < until) {
-            loop.after(TICK_S / 4, () -> leave(until, left));
+            loop.after(SETTLE_STEP_S, () -> leave(until, left));
             return;
         }
         boolean led = term != null;
@@ -491,7 +447,7 @@
     }
 
     double lateS() {
-        return lateS;
+        return beat.lateS();
     }
 
     int workerConnections() {
