--- a/src/main/java/io/kelphoist/core/Hearing.java
+++ b/src/main/java/io/kelphoist/core/Hearing.java
@@ -24,6 +24,8 @@
     /** Between two checks of a machine: it reports about as often. */
     private static final double CHECK_EVERY_S = 1.0;
 
+    /** So many reports late is a detour, and no copy of long ago. */
+    private static final int CROSSED = 3;
     /** A worker waits so long for an answer, and a little more on the way. */
     private static final double GIVES_UP_S = 4.5;
 
@@ -85,6 +87,14 @@
         return session > 0 && !report.newerThan(session, seq);
     }
 
+    /**
+     * One that was held up on its way while the next ones came, as by a controller that is behind: no reason to ask, above all
+     * not then. A machine that began anew and counted that far is found out by its next report.
+     */
+    boolean crossed(MachineReport report) {
+        return report.session() == session && report.seq() + CROSSED >= seq;
+    }
+
     /**
      * A new report came.
      *
--- a/src/main/java/io/kelphoist/core/Intake.java
+++ b/src/main/java/io/kelphoist/core/Intake.java
@@ -52,7 +52,13 @@
         if (m.hearing.seen(report) || m.confirmed && report.token() < cluster.term) {
             // A copy, to which nobody listens any more; or a new beginning, which holds nothing but what is still under way to it.
             m.hearing.mayHaveBegun(now);
-            check(m, now);
+            if (!m.hearing.seen(report)) {
+                // Or it was sent just before a question told the machine of this term: then the answer is waited for, and renews.
+                m.lastAnswer = now;
+            }
+            if (report.token() < cluster.term || !m.hearing.crossed(report)) {
+                check(m, now);
+            }
             return List.of();
         }
         if (report.session() > m.session && m.confirmed && m.state().reports() && !m.hearing.doubted()
