A replica that fails while the others run is not held back for as long as they do

Found in a second reading: a job that became suspect while other tasks of it ran well stayed so until one ended, and those of a service don't.

--- a/src/main/java/io/kelphoist/core/Job.java
+++ b/src/main/java/io/kelphoist/core/Job.java
@@ -150,9 +150,14 @@
 
     /** A task of it failed; {@code anew}: on a machine where none had. */
     void failed(boolean anew, double now) {
+        boolean was = suspect();
         errors++;
         errorMachines += anew ? 1 : 0;
         avoids = true;
+        if (suspect() && !was) {
+            // Others of its tasks may run well: if they go on, the fault was not the job's.
+            triedAt = now;
+        }
         // Of one machine only the machine may be to blame, and the next attempt goes elsewhere.
         retryAt = now + (suspect() ? Math.min(MOST_BACKOFF_S, 0.5 * Math.pow(2, Math.min(errors, 8))) : errorMachines * errorMachines);
     }
