--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -191,10 +191,11 @@
                 return;
             }
             cloud.ask(now);
-            term.handOverIfCutOff(now);
             caretaking.provide(term.cluster(), followed.knownUntil(), now);
             caretaking.note(term.store(), System.currentTimeMillis(), now);
             tellLoad(now);
+            // The last: it may end the term.
+            term.handOverIfCutOff(now);
         }
         workers.sweep(now);
         connections.sweep(now);
--- /dev/null
+++ b/src/test/java/io/kelphoist/admission/UnansweredTest.java
@@ -0,0 +1,38 @@
+package io.kelphoist.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** One job that is put off each time it is asked about, among others that are answered. */
+class UnansweredTest {
+    private final Unanswered unanswered = new Unanswered();
+
+    @Test
+    void isLookedAtAfterAWhileAndThenAgain() {
+        assertFalse(unanswered.notAnswered("job-1", 100));
+        assertFalse(unanswered.notAnswered("job-1", 105));
+        assertTrue(unanswered.notAnswered("job-1", 110));
+        assertFalse(unanswered.notAnswered("job-1", 115));
+        assertTrue(unanswered.notAnswered("job-1", 120));
+        assertEquals(20, unanswered.longestS(120), 1e-9);
+        unanswered.answered("job-1");
+        assertEquals(0, unanswered.size());
+        assertFalse(unanswered.notAnswered("job-1", 121));
+        assertEquals(1, unanswered.longestS(122), 1e-9);
+    }
+
+    /** Nobody asks about some of them any more: what is kept is bounded, and the first of all is not one of those. */
+    @Test
+    void whoeverIsNotAskedAboutIsForgotten() {
+        for (int i = 0; i < 3000; i++) {
+            unanswered.notAnswered("job-" + i, 100);
+        }
+        assertEquals(1000, unanswered.size());
+        assertFalse(unanswered.notAnswered("job-9999", 300));
+        assertEquals(1, unanswered.size());
+        assertEquals(0, unanswered.longestS(300), 1e-9);
+    }
+}
