--- a/src/main/java/io/kelphoist/core/Attempts.java
+++ b/src/main/java/io/kelphoist/core/Attempts.java
@@ -105,8 +105,9 @@
         Job job = p.job;
         Machine m = p.machine;
         boolean wasSuspect = job.suspect();
-        job.failed(!m.failedJobs.contains(job), now);
-        if (!m.failedJobs.contains(job)) {
+        boolean anew = !m.failedJobs.contains(job);
+        job.failed(anew, now);
+        if (anew) {
             m.failedJobs.add(job);
         }
         LOG.info("task {}/{} failed on {} ({} errors of the job on {} machines)", job.spec.id(), p.task, m.name, job.errors, job.errorMachines);
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -544,8 +544,8 @@
         Machine m = machines.get(machine);
         if (report != null) {
             intake.onAnswer(report, now);
-        } else if (m != null && outcome != OrderOutcome.NOT_TRIED) {
-            m.hearing.inVain(now);
+        } else if (m != null) {
+            m.hearing.unanswered(outcome, now);
         }
     }
 
@@ -569,9 +569,7 @@
         }
         if (outcome != OrderOutcome.EXECUTED && outcome != OrderOutcome.REFUSED) {
             m.ordersRetryAt = now + policy.reportS() * 2;
-            if (outcome != OrderOutcome.NOT_TRIED) {
-                m.hearing.inVain(now);
-            }
+            m.hearing.unanswered(outcome, now);
         }
         if (report != null) {
             intake.onAnswer(report, now);
--- a/src/main/java/io/kelphoist/core/Hearing.java
+++ b/src/main/java/io/kelphoist/core/Hearing.java
@@ -77,6 +77,13 @@
         }
     }
 
+    /** How something ended that was sent to it and had no answer; what was never tried says nothing. */
+    void unanswered(Cluster.OrderOutcome outcome, double now) {
+        if (outcome != Cluster.OrderOutcome.NOT_TRIED) {
+            inVain(now);
+        }
+    }
+
     /** It acted on what it was told. */
     void hears(double now) {
         to(State.HEARS, now);
--- a/src/main/java/io/kelphoist/core/Preemption.java
+++ b/src/main/java/io/kelphoist/core/Preemption.java
@@ -66,7 +66,7 @@
     }
 
     /** What must be there for anything of the job to start: a gang starts whole. */
-    private static Resources atOnce(Job job) {
+    static Resources atOnce(Job job) {
         return job.spec.kind() == JobKind.GANG ? job.spec.perTask().times(job.pending.cardinality()) : job.spec.perTask();
     }
 
--- a/src/main/java/io/kelphoist/core/Waiting.java
+++ b/src/main/java/io/kelphoist/core/Waiting.java
@@ -57,7 +57,7 @@
     }
 
     private String why(Job job, double now) {
-        Resources need = job.spec.kind() == JobKind.GANG ? job.spec.perTask().times(job.spec.tasks()) : job.spec.perTask();
+        Resources need = Preemption.atOnce(job);
         if (job.suspect()) {
             return "it fails on every machine";
         } else if (!job.team.withinLimit(need)) {
--- a/src/test/java/io/kelphoist/cloud/CloudClientTest.java
+++ b/src/test/java/io/kelphoist/cloud/CloudClientTest.java
@@ -50,7 +50,8 @@
             try {
                 cloud.types(list -> { });
             } catch (NullPointerException e) {
-                now += 0;
+                // It took its turn, and there is nothing to send it by.
+                continue;
             }
         }
         cloud.rent(rental, () -> entitled, this::end);
