No lease is renewed past what a leader may not know of confirmed cancellations

Cause: the state service refuses the leader alone, another controller stores and confirms cancellations, then it is down for all.

Change: care.Horizon says up to when all cancellations are known that any user was told of, from reads of the jobs and from the word of every other controller (care.Notebook, noted before the user is told, told with the answer to a request for a grant). What is learned so is acted on as if it had been read. Past the horizon by cancel_s less a lease and margins nothing is renewed or started: one gate, daemon.Cancellations. Mandates run from the same moment. A leader that still reads the records does not answer machines that run something known to be cancelled.

Tests: GapTest, CaretakingTest's world with a state service, users and lists; CancellationsTest through the messages; scenario cancelled-as-told.

--- a/src/main/java/io/kelphoist/admission/Admission.java
+++ b/src/main/java/io/kelphoist/admission/Admission.java
@@ -77,12 +77,14 @@
     private final Knowledge knowledge;
     private final Map<String, Team> teams = new HashMap<>();
     private final List<String> zones;
+    private final Consumer<JobRecord> tells;
     private final int mostValueBytes;
     private final Unanswered unanswered = new Unanswered();
     private final EnumMap<Answer.PutOff, Long> putOff = new EnumMap<>(Answer.PutOff.class);
 
+    /** @param tells told of each record before a user is told of it, see {@link io.kelphoist.care.Notebook} */
     public Admission(Reads state, Writes committer, StateClient.Loop loop, LongSupplier wallMs, Knowledge knowledge,
-                     List<Team> teams, List<String> zones, double valueKb, double cancelS) {
+                     List<Team> teams, List<String> zones, double valueKb, double cancelS, Consumer<JobRecord> tells) {
         this.lookup = new JobLookup(state, loop, RECENT * cancelS);
         this.committer = committer;
         this.loop = loop;
@@ -90,9 +92,15 @@
         this.knowledge = knowledge;
         teams.forEach(t -> this.teams.put(t.name(), t));
         this.zones = zones;
+        this.tells = tells;
         this.mostValueBytes = (int) (valueKb * 1024) - SPARE_BYTES;
     }
 
+    /** A job's record is about to be told by another way than an answer. */
+    public void tells(JobRecord record) {
+        tells.accept(record);
+    }
+
     public void watch(Submissions by) {
         submissions = by;
     }
@@ -295,7 +303,8 @@
         asker.accept(new Answer.Known(standing(record, counts == null ? Counts.NONE : counts)));
     }
 
-    private static Answer.Standing standing(JobRecord record, Counts counts) {
+    private Answer.Standing standing(JobRecord record, Counts counts) {
+        tells.accept(record);
         Answer.Phase phase = switch (record.status()) {
             case DONE -> Answer.Phase.DONE;
             case CANCELLED -> Answer.Phase.CANCELLED;
--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -170,7 +170,7 @@
             if (record.status().isFinal()) {
                 dependencies.ended(record.id(), record.status() == JobStatus.DONE, now - ageS, now);
             }
-            if (record.status() == JobStatus.DONE || record.spec() == null || record.status().isFinal() && !loading) {
+            if (record.status() == JobStatus.DONE || record.spec() == null || (record.status().isFinal() ? !loading : dependencies.cancelled(record.id()))) {
                 return;
             }
             TeamState team = teams.get(record.spec().team());
--- a/src/main/java/io/kelphoist/core/Dependencies.java
+++ b/src/main/java/io/kelphoist/core/Dependencies.java
@@ -119,6 +119,12 @@
         }
     }
 
+    /** Known to be cancelled, perhaps by whoever confirmed it and before any record was seen here: an older one does not bring it back. */
+    boolean cancelled(String id) {
+        End end = ends.getIfPresent(id);
+        return end != null && !end.done;
+    }
+
     /** What it needs is no longer needed by it. */
     private void forget(Job job) {
         for (String need : job.spec.needs()) {
--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.admission.Admission;
 import io.kelphoist.api.UserApi;
+import io.kelphoist.care.Care;
 import io.kelphoist.cloud.CloudClient;
 import io.kelphoist.config.GrpcSettings;
 import io.kelphoist.config.OperatorSettings;
@@ -43,7 +44,6 @@
     private static final double LOAD_EVERY_S = 5;
     /** Records that were heard of so long ago are followed: a question for changes is held for up to 4 s. */
     private static final double FOLLOWS_S = 5;
-    private static final double NEWS_EVERY_S = 1.0;
     private static final int STATE_CONNECTIONS = 5;
     /** Leases, one transaction, the leader's keys. */
     private static final int URGENT_CONNECTIONS = 3;
@@ -86,10 +86,10 @@
     /** It decides nothing more. */
     private boolean leaving;
     private final Beat beat;
-    private double newsAt;
     private double loadAt;
     private final JobCounts counts = new JobCounts();
     private final Caretaking caretaking;
+    private final Cancellations cancellations;
     private final WorkerConnections connections;
     private final Reports reports;
 
@@ -131,13 +131,15 @@
         leadership = new Leadership(settings.node(), settings.peers().stream().map(Settings.Peer::node).toList(), state, peers, loop,
                 operator.leaderLeaseMs(), operator.grantMs(), startedAt, this);
         caretaking = new Caretaking(settings, operator.caretaking(), startedAt);
+        cancellations = new Cancellations(Care.of(settings.workers().cancelS(), settings.workers().leaseS()), peers.names(), loop,
+                followed::knownUntil, counters, startedAt);
         reports = new Reports(leadership, peers, loop, counters,
                 new Routes(settings.peerZones(), settings.workers().leaseS()), caretaking, connections, this::lead);
-        around = new Term.Around(settings, operator, loop, state, committer, cloud, workers, followed, standby, caretaking, counters, beat::soon,
-                this::happened);
+        around = new Term.Around(settings, operator, loop, state, committer, cloud, workers, followed, standby, caretaking, cancellations, counters,
+                beat::soon, this::happened);
         UserReads reads = new UserReads(state, loop, settings.stateLimits().rps() * STATE_SHARE * USER_SHARE);
         admission = new Admission(reads, committer::submit, loop, System::currentTimeMillis, new Known(cloud, counts, beat),
-                settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS());
+                settings.teams(), settings.zones(), settings.stateLimits().valueKb(), settings.workers().cancelS(), cancellations::tells);
         api = new UserApi(admission);
         beat.next();
         cloud.readTypes();
@@ -191,7 +193,7 @@
                 return;
             }
             cloud.ask(now);
-            caretaking.provide(term.cluster(), followed.knownUntil(), now);
+            caretaking.provide(term.cluster(), cancellations.knownUntil(), now);
             caretaking.note(term.store(), System.currentTimeMillis(), now);
             tellLoad(now);
             // The last: it may end the term.
@@ -258,23 +260,17 @@
 
     @Override
     public ObjectNode news() {
-        ObjectNode m = Cbor.map();
-        double now = loop.now();
-        if (leads() && now >= newsAt) {
-            // The next peer asked in the same round gets it too.
-            loop.after(0.05, () -> newsAt = loop.now() + NEWS_EVERY_S);
-            counts.count(term.cluster(), m);
-        }
-        return m;
+        return leads() ? counts.news(term.cluster(), loop) : Cbor.map();
     }
 
     @Override
     public void asking(String peer, ObjectNode request) {
         if (leads()) {
             standby.ask(peer, request, term.cluster());
+            cancellations.ask(peer, request);
             if (leadership.election().mayAct(loop.now())) {
                 // A next leader counts what an earlier one may have given from its own beginning: so none is given after that.
-                caretaking.ask(peer, request, term.cluster(), followed.knownUntil(), loop.now());
+                caretaking.ask(peer, request, term.cluster(), cancellations.knownUntil(), loop.now());
             }
         }
     }
@@ -326,6 +322,7 @@
     @Override
     public void answered(String peer, ObjectNode answer, double sentAt) {
         standby.answered(peer, answer);
+        cancellations.answered(peer, answer, sentAt);
         caretaking.answered(peer, answer, sentAt, loop.now());
     }
 
@@ -338,13 +335,10 @@
     /** The answer to a report, if this controller may give one. */
     private ObjectNode lead(MachineReport report, String via) {
         Election election = leadership.election();
-        if (!election.mayAct(loop.now())) {
+        if (!election.mayAct(loop.now()) || !cancellations.mayRenew()) {
             return null;
         }
-        if (term == null) {
-            return Term.onlyLease(report, election.term());
-        }
-        return term.answer(report, via);
+        return term == null ? Term.onlyLease(report, election.term(), followed.mirror()) : term.answer(report, via);
     }
 
     // ---- peers ----
@@ -371,8 +365,10 @@
             counts.take(m);
         }
         ObjectNode answer = Cbor.map().put("granted", granted).put("state_ok", state.failingFor() == 0);
-        standby.asked(m, m.path("term").asLong(), answer);
-        caretaking.asked(m, m.path("term").asLong(), answer, loop.now());
+        long asking = m.path("term").asLong();
+        standby.asked(m, asking, answer);
+        caretaking.asked(m, asking, answer, loop.now());
+        cancellations.asked(m, asking, answer);
         return answer;
     }
 
@@ -443,6 +439,10 @@
         return followed;
     }
 
+    Cancellations cancellations() {
+        return cancellations;
+    }
+
     boolean mandated() {
         return caretaking.mandated(loop.now());
     }
--- a/src/main/java/io/kelphoist/daemon/Counters.java
+++ b/src/main/java/io/kelphoist/daemon/Counters.java
@@ -5,6 +5,7 @@
     volatile long reports;
     volatile long relayed;
     volatile long cared;
+    volatile long withheld;
     volatile long orders;
     volatile long questions;
     volatile long checks;
--- a/src/main/java/io/kelphoist/daemon/Following.java
+++ b/src/main/java/io/kelphoist/daemon/Following.java
@@ -164,7 +164,7 @@
         tell(hub -> hub.current(false, loop.now()));
     }
 
-    private static Hub.Snapshot snapshot(StateClient.Range range) {
+    private Hub.Snapshot snapshot(StateClient.Range range) {
         List<JobRecord> jobs = new ArrayList<>(range.items().size());
         range.items().forEach(i -> record(i.path("key").asText(), i.path("value"), i.path("entry").asLong(), jobs));
         return new Hub.Snapshot(range.revision(), List.copyOf(jobs));
@@ -183,9 +183,11 @@
         });
     }
 
-    private static void record(String key, JsonNode value, long version, List<JobRecord> into) {
+    private void record(String key, JsonNode value, long version, List<JobRecord> into) {
         try {
-            into.add(Records.job(key, value, version).outline());
+            JobRecord record = Records.job(key, value, version).outline();
+            admission.tells(record);
+            into.add(record);
         } catch (BadMessage e) {
             LOG.error("record of {}: {}", key, e.getMessage());
         }
--- a/src/main/java/io/kelphoist/daemon/JobCounts.java
+++ b/src/main/java/io/kelphoist/daemon/JobCounts.java
@@ -5,12 +5,18 @@
 import io.kelphoist.admission.Admission;
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.Job;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.Cbor;
 import java.util.HashMap;
 import java.util.Map;
 
 /** How many tasks of each job are done and run: counted by the leader, passed on to the other controllers, shown to users. */
 final class JobCounts {
     private static final int MOST = 1000;
+    private static final double NEWS_EVERY_S = 1.0;
+    /** All that are asked within so long are asked in one round, and get the same. */
+    private static final double ROUND_S = 0.05;
+    private double newsAt;
     private Map<String, Admission.Counts> counts = new HashMap<>();
 
     /** Null: nothing is known. */
@@ -18,8 +24,18 @@
         return counts.get(job);
     }
 
+    /** What a leader tells with its requests now, if it is time to. */
+    ObjectNode news(Cluster cluster, StateClient.Loop loop) {
+        ObjectNode news = Cbor.map();
+        if (loop.now() >= newsAt) {
+            loop.after(ROUND_S, () -> newsAt = loop.now() + NEWS_EVERY_S);
+            count(cluster, news);
+        }
+        return news;
+    }
+
     /** Counts anew, for whoever is told. */
-    void count(Cluster cluster, ObjectNode news) {
+    private void count(Cluster cluster, ObjectNode news) {
         Map<String, Admission.Counts> all = new HashMap<>();
         for (Job j : cluster.jobs()) {
             if (j.doneCount() + j.runningCount() > 0 && all.size() < MOST) {
--- a/src/main/java/io/kelphoist/daemon/Metrics.java
+++ b/src/main/java/io/kelphoist/daemon/Metrics.java
@@ -71,6 +71,11 @@
         gauge("kelphoist.machines.doubted", "Machines that report and are not known to hear, on the leader",
                 x -> cluster(x, k -> k.machines().stream().filter(Machine::doubted).count()));
         gauge("kelphoist.mandate", "1 while this controller may renew leases if the leader is quiet", x -> x.mandated() ? 1 : 0);
+        gauge("kelphoist.cancellations.known.age.seconds", "Since the moment up to which all cancellations are known, on the leader; NaN elsewhere",
+                x -> x.cancellations().ageS());
+        gauge("kelphoist.cancellations.unacknowledged", "Jobs that users were told to be cancelled, and that no leader has acknowledged",
+                x -> x.cancellations().unacknowledged());
+        count("kelphoist.withheld", "Reports that the leader did not answer, and orders less their starts, as cancellations may be unknown", c, x -> x.withheld);
         gauge("kelphoist.connections.workers", "Connections that workers keep to this controller", Controller::workerConnections);
         gauge("kelphoist.connections.orders", "Connections to workers, for orders", Controller::orderLines);
         gauge("kelphoist.loop.late.seconds", "By how much the event loop's last beat came late", Controller::lateS);
--- a/src/main/java/io/kelphoist/daemon/Term.java
+++ b/src/main/java/io/kelphoist/daemon/Term.java
@@ -11,6 +11,7 @@
 import io.kelphoist.core.Job;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobSpec;
+import io.kelphoist.core.JobStatus;
 import io.kelphoist.core.Machine;
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.Placement;
@@ -18,6 +19,7 @@
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.TaskProgress;
 import io.kelphoist.sockets.SocketBudget;
+import io.kelphoist.standby.Mirror;
 import io.kelphoist.standby.TakeOver;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.StateClient;
@@ -32,7 +34,8 @@
 final class Term implements Effects {
     /** What of the controller a term goes round with. */
     record Around(Settings settings, OperatorSettings operator, StateClient.Loop loop, StateClient state, Committer committer, CloudSide cloud,
-                  WorkerCalls workers, Followed followed, Standby standby, Caretaking caretaking, Counters counters, Runnable soon,
+                  WorkerCalls workers, Followed followed, Standby standby, Caretaking caretaking, Cancellations cancellations, Counters counters,
+                  Runnable soon,
                   BiConsumer<Job, Happening> happened) { }
 
     private static final Logger LOG = LoggerFactory.getLogger(Term.class);
@@ -103,6 +106,7 @@
             around.standby.hint(cluster);
             around.followed.lead(store);
             loaded = true;
+            around.cancellations.lead(term, this::cancelled);
             store.types(around.cloud.types());
             LOG.info("term {}: {} machines and {} jobs known after {} ms", term, cluster.machines().size(), cluster.jobs().size(),
                     Math.round((now() - beganAt) * 1000));
@@ -110,6 +114,12 @@
         });
     }
 
+    /** Somebody told a user that this job is cancelled: so it is stored, whether or not that can be read here now. */
+    private void cancelled(String job) {
+        cluster.onJob(new JobRecord(job, null, JobStatus.CANCELLED, 0, Long.MAX_VALUE), 0, now());
+        around.soon.run();
+    }
+
     void decide(double now) {
         takeOver.run(cluster.machines(), now);
         cluster.tick(now);
@@ -119,15 +129,19 @@
         }
     }
 
-    /** Its lease is kept; what it says is taken in once the records are. */
-    static ObjectNode onlyLease(MachineReport report, long term) {
-        return report.token() > term ? null : Codec.answer(term, List.of());
+    /**
+     * Its lease is kept; what it says is taken in once the records are. Not where something runs that is known to be cancelled:
+     * nobody tells it to stop yet, and the records may take longer than that may go on.
+     */
+    static ObjectNode onlyLease(MachineReport report, long term, Mirror records) {
+        boolean cancelled = report.tasks().stream().anyMatch(t -> records.cancelled(t.job()));
+        return report.token() > term || cancelled ? null : Codec.answer(term, List.of());
     }
 
     /** The answer to a report; null: it must not be accepted. */
     ObjectNode answer(MachineReport report, String via) {
         if (!loaded) {
-            return onlyLease(report, term);
+            return onlyLease(report, term, around.followed.mirror());
         }
         double from = now();
         List<Command> commands = cluster.onReport(report, via, from);
@@ -154,6 +168,7 @@
         around.standby.ended(cluster);
         around.followed.follow();
         around.caretaking.ended();
+        around.cancellations.ended();
     }
 
     // ---- effects ----
@@ -190,12 +205,14 @@
 
     @Override
     public void orders(Machine machine, long session, List<Command> commands) {
-        if (!election.mayAct(now()) || machine.address() == null) {
+        List<Command> sent = around.cancellations.permitted(commands);
+        if (!election.mayAct(now()) || machine.address() == null || sent.isEmpty()) {
+            // A start that is left out is repeated with the next answer to a report.
             around.loop.after(0, () -> ordersEnded(machine.name, Cluster.OrderOutcome.NOT_TRIED, null));
             return;
         }
         around.counters.orders++;
-        around.workers.orders(machine.address(), term, session, commands, now(), (outcome, report) -> ordersEnded(machine.name, outcome, report));
+        around.workers.orders(machine.address(), term, session, sent, now(), (outcome, report) -> ordersEnded(machine.name, outcome, report));
     }
 
     private void ordersEnded(String machine, Cluster.OrderOutcome outcome, MachineReport report) {
--- a/src/main/java/io/kelphoist/standby/Mirror.java
+++ b/src/main/java/io/kelphoist/standby/Mirror.java
@@ -131,6 +131,11 @@
         return all;
     }
 
+    /** Known to be cancelled; of jobs that were so for long nobody need know. */
+    public boolean cancelled(String job) {
+        return cancelled.containsKey(job);
+    }
+
     public Map<Integer, Versioned<List<TaskProgress>>> progress() {
         return progress;
     }
--- a/src/test/java/io/kelphoist/care/CareWorld.java
+++ b/src/test/java/io/kelphoist/care/CareWorld.java
@@ -13,10 +13,11 @@
 import java.util.Set;
 
 /**
- * Two zones, three controllers and one worker as the protocol describes them, with clocks that drift, messages that are
- * held, and processes that end: what the rules on leases are checked against. Time is true time in seconds; nobody but
- * the checks sees it. Controller 0 leads first, from zone {@code b} or from outside it; the worker is in zone {@code b},
- * where controller 1 is.
+ * Two zones, three controllers, one worker, a state service and users as the protocol describes them, with clocks that drift,
+ * messages that are held, processes that end, a state service that refuses one controller or is down for all, and users who
+ * cancel through any controller and ask any: what the rules on leases and cancellations are checked against. Time is true time
+ * in seconds; nobody but the checks sees it. Controller 0 leads first, from zone {@code b} or from outside it; the worker is in
+ * zone {@code b}, where controller 1 is, and runs a task of the one job for as long as the leader has it run.
  */
 final class CareWorld {
     static final double LEASE_S = 22;
@@ -25,8 +26,10 @@
     private static final double REPORT_S = 4;
     /** As the leader counts, see {@code Leases}. */
     private static final double COUNTED_S = LEASE_S * (1 + 2 * Policy.DRIFT) + 0.25;
-    private static final double ENTITLED_S = 4.5;
+    private static final double KEY_S = 3;
+    private static final double GRANT_S = 1.5;
     private static final String WORKER = "vm-1";
+    private static final String JOB = "job-1";
 
     private static final class Node {
         final String name;
@@ -36,7 +39,12 @@
         long life;
         double bornAt;
         Mandate mandate;
+        Notebook notebook;
         boolean up = true;
+        boolean refused;
+        double lastGranted = Double.NEGATIVE_INFINITY;
+        /** It has seen that the job is cancelled on record, and can say so without the state service. */
+        boolean keeps;
 
         Node(String name, String zone, double offset, double rate) {
             this.name = name;
@@ -67,20 +75,33 @@
     private double blindUntil;
     private long term;
     private Caretakers caretakers;
+    private Horizon horizon;
     private double lastAnswer;
-    private double knownUntil;
-    private double entitledUntil;
+    private boolean outage;
+    /** What the leader's key has left; not counted while the state service is down. */
+    private double keyLeft = KEY_S;
+    private double leaseUntil;
+    private final Map<String, Double> grants = new LinkedHashMap<>();
     private double workerLease = Double.NEGATIVE_INFINITY;
     private double reportAt;
     private long token;
     private final double workerRate;
     private double nextAsk;
-    /** When the user was told that the worker's job is cancelled; infinite: never. */
+    /** When the cancellation was stored, and when a user was first told of it; infinite: never. */
+    private double storedAt = Double.POSITIVE_INFINITY;
     private double toldAt = Double.POSITIVE_INFINITY;
-    private boolean stopped;
+    /** The leader knows. */
+    private boolean knows;
+    /** A task of the job is on the worker. */
+    private boolean running = true;
     private boolean counted;
     int cares;
     int losses;
+    /** Reports that the leader did not answer as it may not know all cancellations. */
+    int withheld;
+    /** Told while the leader could not read it. */
+    int toldElsewhere;
+    int expired;
 
     CareWorld(boolean leaderInside, boolean fastClocks) {
         double drift = fastClocks ? Policy.DRIFT : 0;
@@ -97,6 +118,10 @@
         n.bornAt = now;
         n.up = true;
         n.mandate = new Mandate(care, n.zone, n.life);
+        n.notebook = new Notebook(n.life, n.clock(now));
+        n.keeps = false;
+        // An earlier life may have granted up to its end.
+        n.lastGranted = now;
     }
 
     private void lead(Node n) {
@@ -110,8 +135,13 @@
         // Times of day differ from true time by a quarter of a second at most.
         onRecord.forEach((peer, base) -> caretakers.recorded(peer, n.clock(base) + 0.25 + 0.25));
         lastAnswer = n.clock(now);
-        knownUntil = n.clock(now);
-        entitledUntil = now + ENTITLED_S;
+        horizon = new Horizon(others.keySet());
+        horizon.read(n.clock(now));
+        n.notebook.heard(term);
+        knows = storedAt <= now;
+        keyLeft = KEY_S;
+        leaseUntil = now + KEY_S;
+        grants.clear();
         counted = false;
     }
 
@@ -149,10 +179,11 @@
         quickly += backS < 1 ? 1 : 0;
     }
 
-    /** Another controller takes over, once the leader's own time is surely over. */
+    /** Another controller takes over, once the key has lapsed and its own last word with it. */
     void takeOver(int node) {
         Node n = nodes.get(node);
-        if (n.up && n != leader && now >= entitledUntil) {
+        boolean mine = n == leader && n.life == leaderLife;
+        if (n.up && !mine && reachesState(n) && keyLeft <= 0 && now > n.lastGranted + GRANT_S + 0.1) {
             lead(n);
         }
     }
@@ -162,10 +193,58 @@
         blindUntil = now + 3;
     }
 
-    void cancel() {
-        if (toldAt == Double.POSITIVE_INFINITY && workerLease > now) {
+    void outage(boolean down) {
+        outage = down;
+    }
+
+    void refuse(int node, boolean refused) {
+        nodes.get(node).refused = refused;
+    }
+
+    void refuseLeader(boolean refused) {
+        leader.refused = refused;
+    }
+
+    private boolean reachesState(Node n) {
+        return !outage && !n.refused;
+    }
+
+    /** A user cancels through a controller; {@code told} false: the answer is lost, and he may ask later. */
+    void cancel(int node, boolean told) {
+        Node n = nodes.get(node);
+        if (n.up && reachesState(n)) {
+            storedAt = Math.min(storedAt, now);
+            n.keeps = true;
+            if (told) {
+                tell(n);
+            }
+        }
+    }
+
+    /** A user asks: who has seen the end of a job says so even while the state service is down. */
+    void poll(int node) {
+        Node n = nodes.get(node);
+        n.keeps |= n.up && reachesState(n) && storedAt <= now;
+        if (n.up && n.keeps) {
+            tell(n);
+        }
+    }
+
+    private void tell(Node n) {
+        n.notebook.note(JOB, n.clock(now));
+        if (toldAt == Double.POSITIVE_INFINITY) {
+            toldElsewhere += n != leader && !reachesState(leader) ? 1 : 0;
             toldAt = now;
         }
+        knows |= n == leader;
+    }
+
+    /** Users cancel more through one controller than it keeps. */
+    void crowd(int node) {
+        Node n = nodes.get(node);
+        for (int i = 0; n.up && i <= Notebook.MOST_KEPT; i++) {
+            n.notebook.note("job-" + (1000 + i), n.clock(now));
+        }
     }
 
     /** Time passes. */
@@ -181,27 +260,45 @@
         }
     }
 
+    boolean running() {
+        return running;
+    }
+
+    long term() {
+        return term;
+    }
+
     // ---- how it goes on ----
 
     private boolean mayAct() {
-        return leader.up && leader.life == leaderLife && now < entitledUntil;
+        boolean granted = nodes.stream().allMatch(o -> o == leader || now < grants.getOrDefault(o.name, 0.0));
+        return leader.up && leader.life == leaderLife && (now < leaseUntil || granted);
+    }
+
+    private double knownUntil() {
+        return horizon.knownUntil(leader.clock(now));
     }
 
     private void step() {
         Node l = leader;
-        // It holds its lease while it reaches anybody outside its zone; the last of that is all the time it has.
-        boolean alone = nodes.stream().allMatch(o -> o == l || !o.up || cut[nodes.indexOf(l)][nodes.indexOf(o)]);
-        if (l.up && l.life == leaderLife && !alone) {
-            entitledUntil = now + ENTITLED_S;
+        if (!outage) {
+            keyLeft -= STEP_S;
+        }
+        if (l.up && l.life == leaderLife && reachesState(l) && keyLeft > 0) {
+            keyLeft = KEY_S;
+            leaseUntil = now + KEY_S;
             if (now >= blindUntil) {
-                knownUntil = l.clock(now);
+                knows |= storedAt <= now;
+                horizon.read(l.clock(now));
             }
         }
-        if (mayAct() && now >= nextAsk) {
+        if (l.up && l.life == leaderLife && now >= nextAsk) {
             nextAsk = now + 0.375;
             nodes.stream().filter(o -> o != l).forEach(this::ask);
+        }
+        if (mayAct()) {
             note();
-            Offer own = caretakers.own(except(), knownUntil, l.clock(now));
+            Offer own = caretakers.own(except(), knownUntil(), l.clock(now));
             if (own != null) {
                 l.mandate.takeOwn(own, l.clock(now));
             }
@@ -214,7 +311,7 @@
 
     /** The worker's job is cancelled and the leader knows: nobody else may keep it alive. */
     private Set<String> except() {
-        boolean cancelled = !stopped && leader.clock(toldAt) <= knownUntil;
+        boolean cancelled = running && knows;
         boolean quiet = leader.clock(now) > lastAnswer + 1.25 * REPORT_S + 1.5;
         return cancelled || quiet ? Set.of(WORKER) : Set.of();
     }
@@ -244,7 +341,11 @@
         long askedTerm = term;
         Caretakers asking = caretakers;
         double sentAt = from.clock(now);
-        Offer offer = caretakers.offer(to.name, ImmutableSet.copyOf(except()), knownUntil, sentAt);
+        double sent = now;
+        Horizon itsHorizon = horizon;
+        long life = horizon.life(to.name);
+        long acknowledged = horizon.acknowledged(to.name);
+        Offer offer = !mayAct() ? null : caretakers.offer(to.name, ImmutableSet.copyOf(except()), knownUntil(), sentAt);
         send(from, to, () -> {
             double clock = to.clock(now);
             to.mandate.heard(askedTerm, clock);
@@ -253,9 +354,21 @@
             }
             double caredS = to.mandate.caredAt() == Double.NEGATIVE_INFINITY ? Double.POSITIVE_INFINITY : clock - to.mandate.caredAt();
             Caretakers.Word word = new Caretakers.Word(to.life, clock, (now - to.bornAt) * to.rate, caredS, to.mandate.seq(askedTerm));
+            Notebook.Word told = to.notebook.word(askedTerm, life, acknowledged, clock);
+            boolean grants = askedTerm == term && (keyLeft > 0 || !reachesState(to));
+            if (grants) {
+                to.lastGranted = now;
+            }
             send(to, from, () -> {
                 if (caretakers == asking) {
                     asking.answered(to.name, sentAt, word, from.clock(now));
+                    if (told != null) {
+                        knows |= told.jobs().contains(JOB);
+                        itsHorizon.heard(to.name, told, sentAt, from.clock(now));
+                    }
+                    if (grants) {
+                        this.grants.merge(to.name, sent + GRANT_S, Math::max);
+                    }
                 }
             });
         });
@@ -288,6 +401,10 @@
                 continue;
             }
             if (n == leader && mayAct()) {
+                if (!care.mayRenew(knownUntil(), n.clock(now))) {
+                    withheld++;
+                    continue;
+                }
                 lastAnswer = n.clock(now);
                 if (deaf[i]) {
                     // It counts as answered, and the worker tries the next one.
@@ -296,7 +413,7 @@
                 workerLease = now + LEASE_S / workerRate;
                 token = term;
                 counted = false;
-                stopped |= n.clock(toldAt) <= knownUntil;
+                running = !knows;
                 return;
             }
             if (now <= workerLease && n.mandate.covers(WORKER, "b", token, n.clock(now))) {
@@ -327,12 +444,13 @@
                 }
             }
         }
-        if (!stopped && now > toldAt + CANCEL_S && now <= workerLease) {
+        if (running && now > toldAt + CANCEL_S && now <= workerLease) {
             throw new AssertionError("cancelled at " + toldAt + ", there at " + now);
         }
-        if (now > workerLease) {
-            // What ran there is over.
-            stopped = toldAt < Double.POSITIVE_INFINITY;
+        if (now > workerLease && running) {
+            // What ran there is over; the leader may start it again.
+            running = false;
+            expired++;
         }
     }
 }
--- a/src/test/java/io/kelphoist/care/CaretakingTest.java
+++ b/src/test/java/io/kelphoist/care/CaretakingTest.java
@@ -12,10 +12,16 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
 import org.junit.jupiter.api.Test;
 
 /** Whatever is cut, held, restarted or cancelled: no lease outlives what the leader counts, nor a cancellation's time. */
 class CaretakingTest {
+    private static int withheld;
+    private static int toldElsewhere;
+    private static int cares;
+    private static int losses;
+
     /** One step of a story: what happens, and how long nothing else does. */
     private static void play(CareWorld world, int step) {
         int node = step / 20 % 3;
@@ -25,18 +31,34 @@
             case 2, 3 -> world.workerLink(node, on);
             case 4 -> world.crash(node, step / 120 % 2 == 0 ? 0.1 : 5);
             case 5 -> world.takeOver(node);
-            case 6 -> world.cancel();
-            case 8 -> world.blind();
+            case 6 -> {
+                if (step / 120 % 3 == 0) {
+                    world.poll(node);
+                } else {
+                    world.cancel(node, step / 120 % 3 == 1);
+                }
+            }
+            case 8 -> {
+                switch (step / 120 % 5) {
+                    case 0 -> world.blind();
+                    case 1 -> world.refuse(node, on);
+                    case 2 -> world.refuseLeader(on);
+                    default -> world.outage(on);
+                }
+            }
             case 7 -> {
                 // The zone: whoever is in it keeps its worker, and nobody else.
                 for (int outside : new int[] {0, 2}) {
                     world.link(1, outside, on);
                     world.workerLink(outside, on);
                 }
+                world.refuse(1, on);
             }
             default -> {
                 if (step / 120 % 2 == 0) {
                     world.oneWay(node, (node + 1 + step / 240 % 2) % 3, on);
+                } else if (step / 240 % 8 == 0) {
+                    world.crowd(node);
                 } else {
                     world.workerDeaf(node, on);
                 }
@@ -52,6 +74,17 @@
         world.pass(6);
         story.forEach(step -> play(world, step));
         world.pass(60);
+        withheld += world.withheld;
+        toldElsewhere += world.toldElsewhere;
+        cares += world.cares;
+        losses += world.losses;
+    }
+
+    /** The property would hold as well if nobody ever cancelled where the leader can't see it, or nothing was ever withheld. */
+    @AfterContainer
+    static void somethingHappened() {
+        assertTrue(withheld > 100 && toldElsewhere > 200 && cares > 500 && losses > 500,
+                withheld + " reports withheld, " + toldElsewhere + " told elsewhere, " + cares + " cared for, " + losses + " counted as lost");
     }
 
     /** The properties above would hold as well if nobody ever took care, or nothing was ever counted as lost. */
--- /dev/null
+++ b/src/test/java/io/kelphoist/care/GapTest.java
@@ -0,0 +1,219 @@
+package io.kelphoist.care;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Confirmed elsewhere, unknown to the leader: the state service refuses the leader alone, another controller confirms a
+ * cancellation, and then the state service is down for all, longer than a cancellation has. The world checks that its task is
+ * gone in time; these say what else must have come of it.
+ */
+class GapTest {
+    private static final double LONG_S = 70;
+
+    /** The leader is refused; its key has not lapsed yet. */
+    private static CareWorld refused() {
+        CareWorld world = new CareWorld(false, true);
+        world.pass(10);
+        world.refuseLeader(true);
+        world.pass(1);
+        return world;
+    }
+
+    private static void outage(CareWorld world) {
+        world.outage(true);
+        world.pass(LONG_S);
+        world.outage(false);
+        world.refuseLeader(false);
+        world.pass(30);
+    }
+
+    /** The other's word reaches the leader: the task is stopped, and no lease ends. */
+    @Test
+    void confirmedByAnother() {
+        CareWorld world = refused();
+        world.cancel(2, true);
+        outage(world);
+        assertEquals(1, world.toldElsewhere);
+        assertEquals(0, world.withheld);
+        assertEquals(0, world.expired);
+        assertFalse(world.running());
+    }
+
+    @Test
+    void confirmedByBothOthers() {
+        CareWorld world = refused();
+        world.cancel(1, true);
+        world.cancel(2, true);
+        outage(world);
+        assertEquals(0, world.withheld);
+        assertFalse(world.running());
+    }
+
+    /** The user's answer is lost; asked in the middle of the outage, the controller that stored it says so from memory. */
+    @Test
+    void toldByAPollInTheOutage() {
+        CareWorld world = refused();
+        world.cancel(2, false);
+        world.outage(true);
+        world.pass(30);
+        world.poll(2);
+        world.pass(LONG_S);
+        assertEquals(1, world.toldElsewhere);
+        assertFalse(world.running());
+        assertEquals(0, world.withheld);
+    }
+
+    /** Nobody can say any more what it told: past the bound nothing is renewed, until the records can be read. */
+    @Test
+    void whoConfirmedEndsRightAfter() {
+        for (double backS : new double[] {0.1, 5}) {
+            CareWorld world = refused();
+            world.cancel(2, true);
+            world.crash(2, backS);
+            outage(world);
+            assertTrue(world.withheld > 5, world.withheld + " reports withheld");
+            assertEquals(1, world.expired);
+            assertFalse(world.running());
+        }
+    }
+
+    /** Its answers come late, by more than the bound. */
+    @Test
+    void wordIsHeldOnItsWay() {
+        CareWorld world = refused();
+        world.cancel(2, true);
+        world.oneWay(2, 0, true);
+        world.outage(true);
+        world.pass(40);
+        world.oneWay(2, 0, false);
+        world.pass(30);
+        assertTrue(world.expired > 0 || !world.running());
+    }
+
+    /** More than it can say: what it dropped it does not vouch for. */
+    @Test
+    void listOverflows() {
+        CareWorld world = refused();
+        world.cancel(2, true);
+        world.crowd(2);
+        outage(world);
+        assertTrue(world.withheld > 5, world.withheld + " reports withheld");
+        assertFalse(world.running());
+    }
+
+    /** A caretaker in a cut zone, which the leader's word does not reach any more. */
+    @Test
+    void withACaretakerInACutZone() {
+        CareWorld world = refused();
+        world.cancel(2, true);
+        for (int outside : new int[] {0, 2}) {
+            world.link(1, outside, true);
+            world.workerLink(outside, true);
+        }
+        outage(world);
+        assertFalse(world.running());
+    }
+
+    /** The outage ends, and the leader's key with it: the next one knows the records. */
+    @Test
+    void takeOverAtTheOutagesEnd() {
+        CareWorld world = refused();
+        world.cancel(2, true);
+        world.crash(2, 0.1);
+        world.outage(true);
+        world.pass(15);
+        world.outage(false);
+        for (int i = 0; i < 20; i++) {
+            world.pass(0.5);
+            world.takeOver(1);
+        }
+        world.outage(true);
+        world.pass(LONG_S);
+        assertEquals(2, world.term());
+        assertFalse(world.running());
+    }
+
+    /** Nothing is unknown while every other controller vouches: a mend that lets leases end in each long outage is not wanted. */
+    @Test
+    void longOutageEndsNoLease() {
+        CareWorld world = new CareWorld(true, true);
+        world.pass(10);
+        world.outage(true);
+        world.pass(300);
+        assertEquals(0, world.withheld);
+        assertEquals(0, world.expired);
+        assertTrue(world.running());
+    }
+
+    /** A version without the field vouches for nothing: then the bound is all there is. */
+    @Test
+    void aPeerWithoutTheField() {
+        Horizon h = new Horizon(List.of("p", "q"));
+        h.read(100);
+        h.heard("p", new Notebook.Word(7, 50, 0, true, List.of()), 101, 101.1);
+        assertEquals(100, h.knownUntil(102), 1e-9);
+        h.heard("q", new Notebook.Word(8, 50, 0, true, List.of()), 101.5, 101.6);
+        assertEquals(101, h.knownUntil(102), 1e-9);
+        Care care = Care.of(42, 22);
+        assertTrue(care.mayRenew(101, 101 + 19.3));
+        assertFalse(care.mayRenew(101, 101 + 19.5));
+    }
+
+    /** Neither a new life nor a list that was cut short reaches past what the records told. */
+    @Test
+    void wordsThatLeaveSomethingOut() {
+        Horizon h = new Horizon(List.of("p"));
+        h.read(100);
+        h.heard("p", new Notebook.Word(7, 50, 3, true, List.of("job-1")), 101, 101.1);
+        assertEquals(3, h.acknowledged("p"));
+        h.heard("p", new Notebook.Word(7, 51, 5, false, List.of("job-2")), 102, 102.1);
+        assertEquals(101, h.knownUntil(103), 1e-9);
+        // Born at 102.5, so that what its life before told between 101 and then is nowhere.
+        h.heard("p", new Notebook.Word(9, 0.5, 0, true, List.of()), 103, 103.1);
+        assertEquals(101, h.knownUntil(104), 1e-9);
+        assertEquals(9, h.life("p"));
+        assertEquals(0, h.acknowledged("p"));
+        // The old life's word comes late: it does not bring its numbers back.
+        h.heard("p", new Notebook.Word(7, 51, 6, true, List.of()), 102.2, 104);
+        assertEquals(9, h.life("p"));
+        assertEquals(0, h.acknowledged("p"));
+        h.read(103);
+        h.heard("p", new Notebook.Word(9, 2.4, 0, true, List.of()), 105, 105.1);
+        assertEquals(105, h.knownUntil(106), 1e-9);
+    }
+
+    /** What one leader acknowledged the next may not have heard of: for that it must read the records. */
+    @Test
+    void acknowledgedToAnEarlierLeader() {
+        Notebook n = new Notebook(7, 100);
+        n.note("job-1", 110);
+        Notebook.Word word = n.word(3, 0, 0, 111);
+        assertEquals(List.of("job-1"), word.jobs());
+        assertEquals(11, word.sinceS(), 1e-9);
+        assertEquals(List.of(), n.word(3, 7, word.upTo(), 112).jobs());
+        assertEquals(12, n.word(3, 7, word.upTo(), 112).sinceS(), 1e-9);
+        assertEquals(10, n.word(4, 7, word.upTo(), 120).sinceS(), 1e-9);
+        assertNull(n.word(3, 7, 99, 121));
+    }
+
+    /** Numbers of another life, and such as were never given, acknowledge nothing. */
+    @Test
+    void acknowledgementsOfAnotherLife() {
+        Notebook n = new Notebook(7, 100);
+        n.note("job-1", 110);
+        assertEquals(List.of("job-1"), n.word(3, 6, 40, 111).jobs());
+        n.note("job-1", 112);
+        assertEquals(1, n.size());
+        assertEquals(List.of(), n.word(3, 7, 1_000, 113).jobs());
+        n.note("job-2", 114);
+        Notebook.Word word = n.word(3, 7, 1, 115);
+        assertEquals(List.of("job-2"), word.jobs());
+        assertEquals(2, word.upTo());
+    }
+}
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -79,7 +79,8 @@
                 }
             }
             case "job" -> cluster.onJob(new JobRecord(w[1], spec(w[1], with), JobStatus.ACTIVE, 0, ++version), number(with, "age", 0), now);
-            case "cancel" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.CANCELLED, 0, ++version), 0, now);
+            case "cancel" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.CANCELLED, 0, with.containsKey("told") ? Long.MAX_VALUE : ++version), 0,
+                    now);
             case "done-job" -> cluster.onJob(new JobRecord(w[1], null, JobStatus.DONE, 0, ++version), number(with, "age", 0), now);
             case "absent" -> cluster.onJobAbsent(w[1], now);
             case "record-bytes" -> recordBytes = Integer.parseInt(w[1]);
--- /dev/null
+++ b/src/test/java/io/kelphoist/daemon/CancellationsTest.java
@@ -0,0 +1,159 @@
+package io.kelphoist.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.care.Care;
+import io.kelphoist.core.Command;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.peer.ToldCodec;
+import io.kelphoist.state.StateClient;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The gate of a leader and the words of two others, through the messages that they are sent in. */
+class CancellationsTest {
+    private static final Care CARE = Care.of(42, 22);
+    private static final List<Command> CALLS = List.of(new Command.Start("job-9", 0, 1), new Command.Stop("job-8", 0, 1, 0));
+
+    private double now = 100;
+    private double recordsUntil = 100;
+    private final StateClient.Loop loop = new StateClient.Loop() {
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public void after(double seconds, Runnable task) {
+            throw new UnsupportedOperationException();
+        }
+    };
+    private final Counters counters = new Counters();
+    private final Cancellations leader = of(List.of("p", "q"), counters);
+    private final Cancellations p = of(List.of("l", "q"), new Counters());
+    private final Cancellations q = of(List.of("l", "p"), new Counters());
+    private final List<String> taken = new ArrayList<>();
+
+    private Cancellations of(List<String> others, Counters counted) {
+        return new Cancellations(CARE, others, loop, () -> recordsUntil, counted, now - 50);
+    }
+
+    /** A request for a grant and its answer, after some time on its way. */
+    private ObjectNode ask(String name, Cancellations peer, double takes) {
+        ObjectNode request = Cbor.map();
+        leader.ask(name, request);
+        double sentAt = now;
+        ObjectNode answer = Cbor.map();
+        peer.asked(request, 3, answer);
+        now += takes;
+        leader.answered(name, answer, sentAt);
+        return answer;
+    }
+
+    private static JobRecord job(String id, JobStatus status) {
+        return new JobRecord(id, null, status, 0, 1);
+    }
+
+    /** No records for far longer than a cancellation has: what the others told comes with their words, each job once. */
+    @Test
+    void wordsTakeTheRecordsPlace() {
+        leader.lead(3, taken::add);
+        for (int i = 0; i < 200; i++) {
+            if (i == 40) {
+                p.tells(job("job-1", JobStatus.CANCELLED));
+                q.tells(job("job-2", JobStatus.CANCELLED));
+                q.tells(job("job-3", JobStatus.DONE));
+                leader.tells(job("job-4", JobStatus.CANCELLED));
+                assertEquals(List.of("job-4"), taken);
+            }
+            ask("p", p, 0.1);
+            ask("q", q, 0.2);
+            now += 0.1;
+            assertTrue(leader.mayRenew());
+        }
+        assertEquals(List.of("job-4", "job-1", "job-2"), taken);
+        assertEquals(0, p.unacknowledged());
+        assertEquals(CALLS, leader.permitted(CALLS));
+    }
+
+    /** One that is not heard any more may tell whatever it likes: past the bound nothing starts, and what stops a task still may. */
+    @Test
+    void pastTheBoundNothingStarts() {
+        leader.lead(3, taken::add);
+        ask("q", q, 0.1);
+        ask("p", p, 0.1);
+        double known = leader.knownUntil();
+        assertEquals(100, known, 1e-9);
+        now = known + 19.3;
+        ask("q", q, 0);
+        assertTrue(leader.mayRenew());
+        now = known + 19.5;
+        ask("q", q, 0);
+        assertFalse(leader.mayRenew());
+        assertEquals(List.of(CALLS.get(1)), leader.permitted(CALLS));
+        assertTrue(counters.withheld > 0);
+        recordsUntil = now - 1;
+        assertTrue(leader.mayRenew());
+    }
+
+    /** What this controller told before its term, but after the records were read, is taken in with the term. */
+    @Test
+    void toldBeforeTheTerm() {
+        leader.tells(job("job-1", JobStatus.CANCELLED));
+        leader.lead(3, taken::add);
+        assertEquals(List.of("job-1"), taken);
+        leader.ended();
+        leader.tells(job("job-2", JobStatus.CANCELLED));
+        assertEquals(List.of("job-1"), taken);
+        // Without a term the records alone say what is known.
+        now = 110;
+        assertEquals(100, leader.knownUntil());
+        ObjectNode request = Cbor.map();
+        leader.ask("p", request);
+        assertTrue(request.isEmpty());
+    }
+
+    /** Of a leader's version that does not ask nothing is told, and to an older term than one that was heard neither. */
+    @Test
+    void whoIsToldNothing() {
+        p.tells(job("job-1", JobStatus.CANCELLED));
+        ObjectNode answer = Cbor.map();
+        p.asked(Cbor.map(), 3, answer);
+        assertTrue(answer.isEmpty());
+        ObjectNode request = Cbor.map();
+        request.set("told", ToldCodec.acknowledged(0, 0));
+        p.asked(request, 3, answer);
+        assertEquals("job-1", answer.path("told").path("jobs").path(0).asText());
+        ObjectNode older = Cbor.map();
+        p.asked(request, 2, older);
+        assertTrue(older.isEmpty());
+    }
+
+    /** Missing, or none that may be used: no word, and nothing of it is taken in. */
+    @Test
+    void badWords() throws BadMessage {
+        leader.lead(3, taken::add);
+        String good = "\"life\":5,\"since_s\":40,\"to\":1,\"whole\":true,\"jobs\":[\"job-7\"]";
+        for (String bad : List.of("{}", "7", "[]", "{" + good.replace("\"life\":5", "\"life\":\"x\"") + "}", "{" + good.replace("40", "-1") + "}",
+                "{" + good.replace("40", "\"NaN\"") + "}", "{" + good.replace("\"to\":1", "\"to\":-1") + "}", "{" + good.replace("\"to\":1,", "") + "}",
+                "{" + good.replace("true", "1") + "}", "{" + good.replace("[\"job-7\"]", "\"job-7\"") + "}", "{" + good.replace("[\"job-7\"]", "[7]") + "}",
+                "{" + good.replace("job-7", "x y") + "}", "{" + good.replace("[\"job-7\"]", "[" + "\"job-7\",".repeat(10_000) + "\"job-7\"]") + "}")) {
+            long before = counters.badMessages;
+            leader.answered("p", Cbor.decodeJson(("{\"told\":" + bad + "}").getBytes()), now);
+            assertEquals(before + 1, counters.badMessages, bad);
+        }
+        leader.answered("p", Cbor.map(), now);
+        leader.answered("stranger", Cbor.decodeJson(("{\"told\":{" + good + "}}").getBytes()), now);
+        leader.answered("p", Cbor.decodeJson("{\"told\":null}".getBytes()), now);
+        assertEquals(13, counters.badMessages);
+        assertEquals(List.of("job-7"), taken);
+        assertEquals(100, leader.knownUntil(), 1e-9);
+    }
+}
