One world with the real store, committer and admission; a machine that hears nothing of a new leader

Late transactions, a state service that refuses one controller or all, and users who cancel, ask and remember are played against the code that writes and reads: state.StateWorld (virtual time) under Store, Committer and Admission, in StandbyTest's world (2,000 stories: ran_twice, quota, too_early, ran_cancelled, not_done, went_back, forgotten, chains) and in UsersTest (3,000 stories of three controllers). For that Store takes Reads and Committer Transactions, which StateClient is.

Found on the way, by going through the code: after a change of leader a machine whose reports come and that hears nothing counted for as long as that lasted, long after its lease: it stayed JOINING, and only machines that are up and empty went back. What it reports proves nothing, as the session in which a recorded start began is not on record; the cloud's word that it is gone does.

--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -365,10 +365,15 @@
                         leave(m, "drained", now);
                     }
                 }
-                case UP -> {
+                case JOINING -> {
+                    // It reports and has heard nothing of this term: what is on record there ended with its lease, which nothing else proves.
                     if (deaf(m, now)) {
-                        nextDeaf = now + DEAF_EVERY_S;
-                        leave(m, "hears nothing", now);
+                        hearsNothing(m, now);
+                    }
+                }
+                case UP -> {
+                    if (m.idle() && deaf(m, now)) {
+                        hearsNothing(m, now);
                         continue;
                     }
                     boolean aged = m.idle() && m.held().equals(Resources.NONE) && m.heldFor() == null
@@ -397,10 +402,15 @@
     }
 
     private boolean deaf(Machine m, double now) {
-        return now >= nextDeaf && m.idle() && m.hearing.state() == Hearing.State.DEAF
+        return now >= nextDeaf && m.hearing.state() == Hearing.State.DEAF
                 && m.hearing.doubtedFor(now) > DEAF_LEASES * cluster.policy.leaseS();
     }
 
+    private void hearsNothing(Machine m, double now) {
+        nextDeaf = now + DEAF_EVERY_S;
+        leave(m, "hears nothing", now);
+    }
+
     private void leave(Machine m, String why, double now) {
         if (m.to(Machine.State.RETURNING, now)) {
             LOG.info("return {}: {}", m.name, why);
--- a/src/main/java/io/kelphoist/daemon/Store.java
+++ b/src/main/java/io/kelphoist/daemon/Store.java
@@ -13,6 +13,7 @@
 import io.kelphoist.standby.Mirror;
 import io.kelphoist.state.Committer;
 import io.kelphoist.state.Keys;
+import io.kelphoist.state.Reads;
 import io.kelphoist.state.Records;
 import io.kelphoist.state.StateClient;
 import io.kelphoist.wire.BadMessage;
@@ -29,11 +30,11 @@
 import org.slf4j.LoggerFactory;
 
 /** What one term reads and writes at the state service. Every write is conditional on the term. */
-final class Store {
+public final class Store {
     private static final Logger LOG = LoggerFactory.getLogger(Store.class);
     private static final double PATIENCE_S = 20;
 
-    private final StateClient state;
+    private final Reads state;
     private final Committer committer;
     private final StateClient.Loop loop;
     private final LongSupplier wallMs;
@@ -46,7 +47,7 @@
     /** Last known versions of the keys that only leaders write. */
     private final Map<String, Long> versions = new HashMap<>();
 
-    Store(StateClient state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, int valueBytes, long termVersion,
+    public Store(Reads state, Committer committer, StateClient.Loop loop, LongSupplier wallMs, int valueBytes, long termVersion,
           Runnable deposed, Runnable changed) {
         this.state = state;
         this.committer = committer;
@@ -58,14 +59,14 @@
         this.changed = changed;
     }
 
-    void close() {
+    public void close() {
         closed = true;
     }
 
     // ---- reading ----
 
     /** Takes all records into a new term's cluster, and with them the versions of what only leaders write. */
-    void load(Cluster into, Mirror records, ObjDoubleConsumer<String> mandated) {
+    public void load(Cluster into, Mirror records, ObjDoubleConsumer<String> mandated) {
         cluster = into;
         records.jobs().forEach(this::job);
         records.progress().forEach((page, p) -> {
@@ -108,7 +109,7 @@
     }
 
     /** A job's record as it was read, or has changed. */
-    void job(JobRecord record) {
+    public void job(JobRecord record) {
         if (!closed) {
             cluster.onJob(record, Math.max(0, (wallMs.getAsLong() - record.atMs()) / 1000.0), loop.now());
         }
@@ -179,27 +180,27 @@
         });
     }
 
-    void progress(int page, List<TaskProgress> progress) {
+    public void progress(int page, List<TaskProgress> progress) {
         own(Keys.page(Keys.PROGRESS, page), Records.progress(progress), false, end -> cluster.onProgressStored(page, end));
     }
 
     /** With what users wait for: a page holds back dozens of tasks, and its share of the limit is bounded where it is made. */
-    void starts(int page, List<Placement> starts) {
+    public void starts(int page, List<Placement> starts) {
         own(Keys.page(Keys.STARTS, page), Records.starts(starts, cluster::zoneName), true, end -> cluster.onStartsStored(page, end));
     }
 
-    void images(int page, List<Machine> machines) {
+    public void images(int page, List<Machine> machines) {
         own(Keys.page(Keys.IMAGES, page), Records.images(machines.stream().map(cluster::imagesOn).toList()), false,
                 end -> cluster.onImagesStored(page, end));
     }
 
-    void done(JobSpec job, long version) {
+    public void done(JobSpec job, long version) {
         long atMs = wallMs.getAsLong();
         end(false, new JobRecord(job.id(), null, JobStatus.DONE, atMs, version, job.owner()), Records.done(atMs, job.owner()));
     }
 
     /** Before bulk work: users wait for what they cancelled. */
-    void cancelled(JobRecord job) {
+    public void cancelled(JobRecord job) {
         end(true, new JobRecord(job.id(), job.spec(), JobStatus.CANCELLED, job.atMs(), job.version()), Records.cancelled(job, valueBytes));
     }
 
@@ -237,7 +238,7 @@
         return false;
     }
 
-    void lookUp(String job) {
+    public void lookUp(String job) {
         state.get(Keys.job(job), result -> {
             if (!closed && !read(job, result) && result instanceof StateClient.Done) {
                 cluster.onJobAbsent(job, loop.now());
--- a/src/main/java/io/kelphoist/state/Committer.java
+++ b/src/main/java/io/kelphoist/state/Committer.java
@@ -53,7 +53,7 @@
     /** Conditions that a transaction may have for each change that it may have. */
     private static final int CONDITIONS_PER_OP = 4;
     private static final int MOST_WAITING = 2000;
-    private final StateClient state;
+    private final Transactions state;
     private final StateClient.Loop loop;
     private final RateGate writes;
     private final int mostOps;
@@ -63,7 +63,7 @@
     private int together = Integer.MAX_VALUE;
     private boolean busy;
 
-    public Committer(StateClient state, StateClient.Loop loop, double writeRps, int txnOps) {
+    public Committer(Transactions state, StateClient.Loop loop, double writeRps, int txnOps) {
         this.state = state;
         this.loop = loop;
         this.writes = new RateGate(writeRps, 0.9);
--- a/src/main/java/io/kelphoist/state/StateClient.java
+++ b/src/main/java/io/kelphoist/state/StateClient.java
@@ -13,7 +13,7 @@
 import java.util.function.Consumer;
 
 /** The state service by its protocol. Requests count against its limits; renewals go first. */
-public final class StateClient implements Reads {
+public final class StateClient implements Reads, Transactions {
     /** How a request ended. */
     public sealed interface Result { }
 
@@ -110,6 +110,7 @@
     /** A put, or a delete if {@code value} is null. {@code lease} 0: none. */
     public record Change(String key, ObjectNode value, long lease) { }
 
+    @Override
     public void txn(List<Condition> conditions, List<Change> changes, boolean urgent, Consumer<Result> handler) {
         ObjectNode m = Cbor.map();
         ArrayNode ifs = m.putArray("if");
--- a/src/test/java/io/kelphoist/admission/FreshReadsTest.java
+++ b/src/test/java/io/kelphoist/admission/FreshReadsTest.java
@@ -3,8 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.core.JobKind;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobSpec;
@@ -12,16 +10,9 @@
 import io.kelphoist.core.Priority;
 import io.kelphoist.core.Resources;
 import io.kelphoist.state.Keys;
-import io.kelphoist.state.Reads;
 import io.kelphoist.state.Records;
-import io.kelphoist.state.StateClient;
-import io.kelphoist.wire.Cbor;
-import java.util.ArrayList;
-import java.util.Comparator;
+import io.kelphoist.state.StateWorld;
 import java.util.List;
-import java.util.PriorityQueue;
-import java.util.TreeMap;
-import java.util.function.Consumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -32,123 +23,18 @@
 class FreshReadsTest {
     private static final int JOBS = 6;
 
-    private record Change(long revision, String id, ObjectNode value) { }
-
-    private record Later(double at, long order, Runnable what) { }
-
-    /** A store with revisions. A request is handled some time after it was sent, and its answer comes some time after that. */
-    private static final class World implements Reads, StateClient.Loop {
-        private final PriorityQueue<Later> later = new PriorityQueue<>(Comparator.comparingDouble(Later::at).thenComparing(Later::order));
-        private final TreeMap<String, Change> stored = new TreeMap<>();
-        private final List<Change> changes = new ArrayList<>();
-        private final List<String> asked = new ArrayList<>();
-        private double now;
-        private long order;
-        private long revision = 10;
-        private long oldest;
-        private int delay;
-        private boolean down;
-
-        @Override
-        public double now() {
-            return now;
-        }
-
-        @Override
-        public void after(double seconds, Runnable task) {
-            later.add(new Later(now + seconds, order++, task));
-        }
-
-        void pass(double seconds) {
-            double until = now + seconds;
-            while (!later.isEmpty() && later.peek().at <= until) {
-                Later next = later.poll();
-                now = Math.max(now, next.at);
-                next.what.run();
-            }
-            now = until;
-        }
-
-        private double wait(int salt) {
-            delay = (delay * 31 + salt) % 997;
-            return delay % 29 / 60.0;
-        }
-
-        private void handle(Runnable what) {
-            after(wait(7), what);
-        }
-
-        private <T> void answer(Consumer<T> handler, T result) {
-            after(wait(11), () -> handler.accept(result));
-        }
-
-        long put(String id, ObjectNode value) {
-            Change c = new Change(++revision, id, value);
-            stored.put(id, c);
-            changes.add(c);
-            return revision;
-        }
-
-        @Override
-        public void get(String key, Consumer<StateClient.Result> handler) {
-            asked.add("get");
-            handle(() -> {
-                Change c = stored.get(key.substring(Keys.JOBS.length()));
-                if (down) {
-                    answer(handler, new StateClient.Refused(false));
-                } else if (c == null) {
-                    answer(handler, new StateClient.Done(404, Cbor.map().put("logbook", revision)));
-                } else {
-                    ObjectNode m = Cbor.map().put("entry", c.revision);
-                    m.set("value", c.value);
-                    answer(handler, new StateClient.Done(200, m));
-                }
-            });
-        }
-
-        @Override
-        public void range(String prefix, Consumer<StateClient.Range> handler) {
-            asked.add("range");
-            handle(() -> answer(handler, down ? null : new StateClient.Range(List.of(), revision)));
-        }
-
-        @Override
-        public void changes(String prefix, long after, Consumer<StateClient.Result> handler) {
-            asked.add("changes");
-            handle(() -> {
-                if (down) {
-                    answer(handler, new StateClient.Refused(false));
-                    return;
-                }
-                if (after < oldest) {
-                    answer(handler, new StateClient.Done(410, Cbor.map()));
-                    return;
-                }
-                ObjectNode m = Cbor.map().put("logbook", revision);
-                ArrayNode events = m.putArray("events");
-                for (Change c : changes) {
-                    if (c.revision > after) {
-                        events.addObject().put("put", Keys.job(c.id)).put("entry", c.revision).set("value", c.value);
-                    }
-                }
-                answer(handler, new StateClient.Done(200, m));
-            });
-        }
-    }
-
     private static JobSpec spec(String id) {
         return new JobSpec(id, "c", "t", JobKind.ARRAY, Priority.NORMAL, 1, new Resources(1, 1, 1), null, null, false, false, false, "i", 1, 1, 0,
                 0, null, List.of());
     }
 
-    private World world;
+    private StateWorld world;
     private JobLookup lookup;
     private int answers;
 
     /** One instance plays all stories. */
     private void begin(int salt) {
-        world = new World();
-        world.delay = salt;
+        world = new StateWorld(salt, 0);
         lookup = new JobLookup(world, world, 1);
         answers = 0;
     }
@@ -161,8 +47,8 @@
     }
 
     private int stored(String id) {
-        Change c = world.stored.get(id);
-        return c == null ? 0 : c.value.path("status").asText().equals("active") ? 1 : 2;
+        StateWorld.Item c = world.get(Keys.job(id));
+        return c == null ? 0 : c.value().path("status").asText().equals("active") ? 1 : 2;
     }
 
     private void step(int step) {
@@ -171,22 +57,22 @@
             // Accepted here: the answer to the transaction may be later than much else.
             case 0, 1, 2 -> {
                 if (stored(id) == 0) {
-                    long revision = world.put(id, Records.job(spec(id), 1));
+                    long revision = world.put(Keys.job(id), Records.job(spec(id), 1));
                     world.after(step % 19 / 40.0, () -> lookup.stored(new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, revision)));
                 }
             }
             // Accepted, or touched, elsewhere.
             case 3 -> {
                 if (stored(id) < 2) {
-                    world.put(id, Records.job(spec(id), 1));
+                    world.put(Keys.job(id), Records.job(spec(id), 1));
                 }
             }
             case 4 -> {
                 if (stored(id) == 1) {
-                    world.put(id, step % 2 == 0 ? Records.done(1, null) : Records.cancelled(new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, 0), 4000));
+                    world.put(Keys.job(id), step % 2 == 0 ? Records.done(1, null) : Records.cancelled(new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, 0), 4000));
                 }
             }
-            case 5 -> world.oldest = step % 3 == 0 ? world.revision : world.oldest;
+            case 5 -> world.oldest = step % 3 == 0 ? world.revision() : world.oldest;
             case 6 -> {
                 world.down = true;
                 world.after(0.2, () -> world.down = false);
@@ -215,7 +101,7 @@
     @Test
     void pollsShareTheirQuestions() {
         begin(0);
-        world.put("job-1", Records.job(spec("job-1"), 1));
+        world.put(Keys.job("job-1"), Records.job(spec("job-1"), 1));
         for (int round = 0; round < 3; round++) {
             // Two to find a position and the record.
             lookup.read("job-1", found -> answers++);
--- /dev/null
+++ b/src/test/java/io/kelphoist/admission/UsersTest.java
@@ -0,0 +1,223 @@
+package io.kelphoist.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kelphoist.core.JobKind;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.MachineType;
+import io.kelphoist.core.Priority;
+import io.kelphoist.core.Resources;
+import io.kelphoist.core.Team;
+import io.kelphoist.state.Committer;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.Records;
+import io.kelphoist.state.StateWorld;
+import io.kelphoist.wire.BadMessage;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Users submit, cancel and ask through three controllers and remember every answer, while the state service is slow, refuses
+ * one of them, is down for all, and carries transactions out late, after newer ones. Nobody is told anything older than anybody
+ * was told before he asked, no accepted job is unknown, what waits for a cancelled job is not called queued for long, and what
+ * is called cancelled was noted before.
+ */
+class UsersTest {
+    private static final int JOBS = 8;
+    private static final int CONTROLLERS = 3;
+    private static final double CANCEL_S = 30;
+    private static final Team TEAM = new Team("t", new Resources(1e6, 4, 1e6), new Resources(1e6, 8, 1e6));
+    private static final MachineType TYPE = new MachineType("m", new Resources(8, 2, 64), 50, 1, 8, 3, 25, List.of("a"));
+    private static int finals;
+    private static int putOff;
+    private static int late;
+    private static int chained;
+
+    private static final class Nothing implements Admission.Knowledge {
+        @Override
+        public Collection<MachineType> types() {
+            return List.of(TYPE);
+        }
+
+        @Override
+        public Admission.Counts counts(String job) {
+            return null;
+        }
+    }
+
+    private final class Controller {
+        final Set<String> noted = new HashSet<>();
+        boolean refused;
+        final StateWorld.View view = world.seenBy(() -> refused);
+        final Admission admission = new Admission(view, new Committer(view, world, 1e6, 48)::submit, world, () -> 1, new Nothing(), List.of(TEAM),
+                List.of("a"), 4, CANCEL_S, this::tells);
+
+        private void tells(JobRecord record) {
+            if (record.status() == JobStatus.CANCELLED) {
+                noted.add(record.id());
+            }
+        }
+    }
+
+    private StateWorld world;
+    private List<Controller> controllers;
+    /** What any user was told of a job: accepted, or how it ended. */
+    private Map<String, Answer.Phase> told;
+    private Map<String, Double> cancelledAt;
+
+    private void begin(int seed) {
+        world = new StateWorld(seed, 0);
+        controllers = new ArrayList<>();
+        told = new HashMap<>();
+        cancelledAt = new HashMap<>();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            controllers.add(new Controller());
+        }
+    }
+
+    /** Two chains: 1 needs 0, 2 needs 1, and 5 needs 4. */
+    private static JobSpec spec(int number) {
+        List<String> needs = number == 1 || number == 2 || number == 5 ? List.of("job-" + (number - 1)) : List.of();
+        return new JobSpec("job-" + number, "c", "t", JobKind.ARRAY, Priority.NORMAL, 1, new Resources(1, 1, 1), null, null, false, false, false, "i", 1, 1, 0,
+                0, null, needs);
+    }
+
+    /** Holds an answer against what anybody was told before it was asked for. */
+    private Consumer<Answer> asker(int number, Controller by) {
+        String id = "job-" + number;
+        Answer.Phase before = told.get(id);
+        boolean doomed = spec(number).needs().stream().anyMatch(n -> world.now() > cancelledAt.getOrDefault(n, Double.POSITIVE_INFINITY) + CANCEL_S);
+        boolean[] once = {false};
+        return answer -> {
+            assertTrue(!once[0], id + " is answered twice");
+            once[0] = true;
+            if (answer instanceof Answer.Later) {
+                putOff++;
+                return;
+            }
+            Answer.Standing standing = answer instanceof Answer.Accepted a ? a.job() : answer instanceof Answer.Known k ? k.job() : null;
+            if (standing == null) {
+                assertEquals(null, before, id + " was accepted, and is answered " + answer);
+                return;
+            }
+            Answer.Phase now = standing.phase();
+            assertTrue(before == null || !before.isFinal() || before == now, id + " was called " + before + " and is called " + now);
+            assertTrue(now != Answer.Phase.CANCELLED || by.noted.contains(id), id + " is called cancelled, and that was not noted before");
+            assertTrue(!doomed || now == Answer.Phase.CANCELLED, id + " is called " + now + " long after what it needs was cancelled");
+            told.merge(id, now, (was, is) -> was.isFinal() ? was : is);
+            if (now == Answer.Phase.CANCELLED && cancelledAt.putIfAbsent(id, world.now()) == null) {
+                chained += spec(number).needs().isEmpty() ? 0 : 1;
+            }
+            finals += now.isFinal() ? 1 : 0;
+        };
+    }
+
+    private void step(int step) {
+        int number = step % JOBS;
+        Controller by = controllers.get(step / JOBS % CONTROLLERS);
+        int how = step / JOBS / CONTROLLERS;
+        switch (how % 16) {
+            case 0, 1, 2 -> {
+                // Users name what was accepted.
+                if (spec(number).needs().stream().allMatch(told::containsKey)) {
+                    by.admission.submit(spec(number), asker(number, by));
+                }
+            }
+            case 3, 4 -> {
+                if (told.containsKey("job-" + number)) {
+                    by.admission.cancel("job-" + number, asker(number, by));
+                }
+            }
+            case 5 -> done(number);
+            case 6 -> by.refused = how / 16 % 2 == 0;
+            case 7 -> world.down = how / 16 % 2 == 0;
+            case 8 -> world.lateShare = how / 16 % 6;
+            case 9 -> world.oldest = how / 16 % 3 == 0 ? world.revision() : world.oldest;
+            case 10 -> world.pass(how / 16 * 2);
+            default -> by.admission.query("job-" + number, asker(number, by));
+        }
+        world.pass(how / 16 / 4.0);
+    }
+
+    /** As the leader stores it, on condition of what it knows. */
+    private void done(int number) {
+        StateWorld.Item c = world.get(Keys.job("job-" + number));
+        try {
+            boolean active = c != null && Records.job(c.key(), c.value(), c.revision()).status() == JobStatus.ACTIVE;
+            if (active && spec(number).needs().isEmpty() && !world.down) {
+                world.put(c.key(), Records.done(1, null));
+            }
+        } catch (BadMessage e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Property(tries = 3000, seed = "20261205")
+    void nobodyIsToldLess(@ForAll @Size(min = 20, max = 120) List<@IntRange(min = 0, max = 3071) Integer> story, @ForAll @IntRange(min = 0, max = 996) int seed) {
+        begin(seed);
+        story.forEach(this::step);
+        late += world.late;
+        // All troubles are over: every job is known again to whoever asks twice.
+        world.down = false;
+        world.lateShare = 0;
+        controllers.forEach(c -> c.refused = false);
+        world.pass(40);
+        for (int number = 0; number < JOBS; number++) {
+            for (Controller c : controllers) {
+                Answer[] last = new Answer[1];
+                for (int i = 0; i < 2; i++) {
+                    Consumer<Answer> asker = asker(number, c);
+                    c.admission.query("job-" + number, answer -> {
+                        last[0] = answer;
+                        asker.accept(answer);
+                    });
+                    world.pass(10);
+                }
+                assertTrue(last[0] != null && !(last[0] instanceof Answer.Later), "job-" + number + " is answered " + last[0] + " when all is over");
+            }
+        }
+    }
+
+    @AfterContainer
+    static void somethingHappened() {
+        assertTrue(finals > 10_000 && putOff > 5_000 && late > 150 && chained > 500,
+                finals + " told how a job ended, " + putOff + " put off, " + late + " late, " + chained + " cancelled with what they need");
+    }
+
+    /** Submitted again, cancelled again, asked about: whichever way a user hears of it, it is noted before. */
+    @Test
+    void notedWhicheverWayItIsTold() {
+        begin(1);
+        Controller first = controllers.get(0);
+        first.admission.submit(spec(0), asker(0, first));
+        world.pass(5);
+        first.admission.cancel("job-0", asker(0, first));
+        world.pass(5);
+        assertEquals(Set.of("job-0"), first.noted);
+        for (Controller other : controllers.subList(1, 3)) {
+            assertEquals(Set.of(), other.noted);
+        }
+        controllers.get(1).admission.submit(spec(0), asker(0, controllers.get(1)));
+        controllers.get(2).admission.submit(spec(1), asker(1, controllers.get(2)));
+        world.pass(5);
+        assertEquals(Set.of("job-0"), controllers.get(1).noted);
+        // Accepted as cancelled, with what it needs.
+        assertEquals(Set.of("job-1"), controllers.get(2).noted);
+        assertTrue(world.get(Keys.job("job-1")) != null);
+    }
+}
--- a/src/test/java/io/kelphoist/daemon/CancellationsTest.java
+++ b/src/test/java/io/kelphoist/daemon/CancellationsTest.java
@@ -7,14 +7,23 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.care.Care;
 import io.kelphoist.core.Command;
+import io.kelphoist.core.JobKind;
 import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
 import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.MachineReport;
+import io.kelphoist.core.Priority;
+import io.kelphoist.core.Resources;
+import io.kelphoist.core.TaskPhase;
+import io.kelphoist.core.TaskReport;
 import io.kelphoist.peer.ToldCodec;
+import io.kelphoist.standby.Mirror;
 import io.kelphoist.state.StateClient;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** The gate of a leader and the words of two others, through the messages that they are sent in. */
@@ -136,6 +145,24 @@
         assertTrue(older.isEmpty());
     }
 
+    private static MachineReport report(long token, String... jobs) {
+        return new MachineReport("vm-1", "10.0.0.1:1", "m", "a", false, 1, 5, token, null,
+                Stream.of(jobs).map(job -> new TaskReport(job, 0, 1, TaskPhase.RUNNING, null, false)).toList());
+    }
+
+    /** Until the records of a new term are taken in nobody tells a task to stop: what is known to be cancelled is not kept alive. */
+    @Test
+    void nothingCancelledIsKeptWhileTheRecordsAreRead() {
+        Mirror records = new Mirror();
+        JobSpec spec = new JobSpec("job-1", "c", "t", JobKind.ARRAY, Priority.NORMAL, 1, Resources.NONE, null, null, false, false, false, "i", 1, 1, 0, 0,
+                null, List.of());
+        records.job(new JobRecord("job-1", spec, JobStatus.CANCELLED, 0, 7), 100);
+        records.job(new JobRecord("job-2", spec, JobStatus.ACTIVE, 0, 8), 100);
+        assertEquals(null, Term.onlyLease(report(2, "job-2", "job-1"), 3, records));
+        assertEquals(3, Term.onlyLease(report(2, "job-2"), 3, records).path("helm").asLong());
+        assertEquals(null, Term.onlyLease(report(4, "job-2"), 3, records));
+    }
+
     /** Missing, or none that may be used: no word, and nothing of it is taken in. */
     @Test
     void badWords() throws BadMessage {
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -30,30 +30,37 @@
     private static int restarts;
     private static int returned;
     private static int copied;
+    private static int cancelled;
+    private static int ended;
+    private static int lateApplied;
 
     private static void play(StandbyWorld world, int step) {
-        int what = step % 16;
+        int what = step % 22;
         switch (what) {
             case 0 -> world.takeOver(0);
             case 1, 2 -> world.takeOver(1);
             case 3 -> world.takeOver(2);
-            case 4 -> world.freeze(step / 16 % 12);
-            case 5, 6 -> world.cut(step / 16, true);
-            case 7, 8 -> world.cut(step / 16, false);
-            case 9, 10, 11 -> world.finish(step / 16);
+            case 4 -> world.freeze(step / 22 % 12);
+            case 5, 6 -> world.cut(step / 22, true);
+            case 7, 8 -> world.cut(step / 22, false);
+            case 9, 10, 11 -> world.finish(step / 22);
             case 12 -> world.list();
-            case 13 -> world.deaf(step / 16, true);
-            case 14 -> world.deaf(step / 16, false);
-            case 15 -> world.restart(step / 16);
-            default -> { }
+            case 13 -> world.deaf(step / 22, true);
+            case 14 -> world.deaf(step / 22, false);
+            case 15 -> world.restart(step / 22);
+            case 16 -> world.late(step / 22 % 8);
+            case 17 -> world.outage(step / 22 % 2 == 0);
+            case 18 -> world.refuse(step / 22 % 3 > 0);
+            case 19 -> world.cancel(step / 22);
+            default -> world.ask(step / 22);
         }
         world.tell();
-        world.pass(0.3 + step / 16 % 5, step / 80 % 10);
+        world.pass(0.3 + step / 22 % 5, step / 110 % 10);
         world.tell();
     }
 
     @Property(tries = 2000, seed = "20261203")
-    void nothingRunsTwice(@ForAll long seed, @ForAll @Size(min = 4, max = 40) List<@IntRange(min = 0, max = 799) Integer> story) {
+    void nothingRunsTwice(@ForAll long seed, @ForAll @Size(min = 4, max = 40) List<@IntRange(min = 0, max = 1099) Integer> story) {
         StandbyWorld world = new StandbyWorld(seed);
         world.pass(6, 0);
         story.forEach(step -> play(world, step));
@@ -64,6 +71,9 @@
         restarts += world.restarts;
         returned += world.returned;
         copied += world.copied;
+        cancelled += world.cancelled;
+        ended += world.ended;
+        lateApplied += world.lateApplied();
     }
 
     /** The property would hold as well if nothing were ever started, or every take-over waited out its round. */
@@ -71,6 +81,7 @@
     static void somethingHappened() {
         assertTrue(starts > 5_000 && quick > 2000 && expired > 300, starts + " starts, " + quick + " quick take-overs, " + expired + " leases over");
         assertTrue(restarts > 1000 && returned > 500 && copied > 5000, restarts + " restarts, " + returned + " machines returned, " + copied + " copies");
+        assertTrue(cancelled > 1000 && ended > 500 && lateApplied > 100, cancelled + " cancelled, " + ended + " done, " + lateApplied + " written late");
     }
 
     private static ToldMachine machine(int number, long session) {
--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -1,5 +1,7 @@
 package io.kelphoist.standby;
 
+import io.kelphoist.admission.Admission;
+import io.kelphoist.admission.Answer;
 import io.kelphoist.core.CloudMachine;
 import io.kelphoist.core.CloudPage;
 import io.kelphoist.core.Cluster;
@@ -14,40 +16,50 @@
 import io.kelphoist.core.MachineReport;
 import io.kelphoist.core.MachineType;
 import io.kelphoist.core.OtherAnswers;
-import io.kelphoist.core.PageOutcome;
 import io.kelphoist.core.Placement;
 import io.kelphoist.core.Policy;
 import io.kelphoist.core.Priority;
 import io.kelphoist.core.Rental;
 import io.kelphoist.core.Resources;
-import io.kelphoist.core.StartedTask;
 import io.kelphoist.core.TaskPhase;
 import io.kelphoist.core.TaskProgress;
-import io.kelphoist.core.TaskRef;
 import io.kelphoist.core.TaskReport;
 import io.kelphoist.core.Team;
 import io.kelphoist.core.ToldMachine;
+import io.kelphoist.daemon.Store;
+import io.kelphoist.state.Committer;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.Records;
+import io.kelphoist.state.StateWorld;
+import io.kelphoist.wire.BadMessage;
+import io.kelphoist.wire.Cbor;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * Leaders one after the other over a handful of workers, with a network that holds, drops and mixes up what it carries.
  * What earlier leaders sent comes when it comes; copies of reports come up to three leases late; what is sent to a worker
- * may be lost while its own reports arrive; and a machine may be back at once, counting from 1 again.
- * Every start that a worker executes is held against the
- * rules: no task on two machines, no team past its limit. When all that is over, as much runs as may.
+ * may be lost while its own reports arrive; and a machine may be back at once, counting from 1 again. The state service carries
+ * transactions out late, after newer ones, is down for all, or refuses the leader alone; users cancel, ask, and remember.
+ * Every start that a worker executes is held against the rules: no task on two machines, no team past its limit, none before
+ * what its job needs, none long after its user was told that it is cancelled; and every answer against those before. When all
+ * that is over, as much runs as may.
  */
 final class StandbyWorld {
     private static final double REPORT_S = 2;
     private static final double LEASE_S = 10;
     private static final int WORKERS = 5;
     private static final int LIMIT = 7;
+    private static final double CANCEL_S = 30;
+    private static final int VALUE_BYTES = 600;
     private static final MachineType TYPE = new MachineType("m", new Resources(8, 2, 64), 50, 1, 8, 3, 25, List.of("a"));
     private static final Team TEAM = new Team("t", new Resources(1e6, 4, 1e6), new Resources(1e6, LIMIT, 1e6));
 
@@ -140,6 +152,12 @@
                     throw new AssertionError(task + " is on " + other.name + " and starts on " + name + " at " + now);
                 }
             }
+            JobRecord job = jobs.get(task.substring(0, task.indexOf('/')));
+            for (String need : needs.get(job.id())) {
+                if (jobs.get(need).status() != JobStatus.DONE) {
+                    throw new AssertionError(task + " starts at " + now + ", and " + need + " is not done");
+                }
+            }
             starts++;
             if (results.contains(task)) {
                 // Its result is kept: it ends as soon as it is started again.
@@ -199,6 +217,9 @@
     }
 
     private final class Leader implements Effects {
+        final Store store;
+        long watched;
+        int heard;
         final long term;
         final TakeOver takeOver;
         final Cluster cluster;
@@ -211,14 +232,16 @@
             this.term = term;
             takeOver = new TakeOver(term, 1.25 * REPORT_S, 1, questions, this::ask, now);
             Policy policy = new Policy(List.of("a"), List.of(TEAM), REPORT_S, LEASE_S, 3, 5, 1, 20, 15, 0, 1e6, 600, 0.01, 0.01, Map.of());
+            StateWorld.View view = state.seenBy(() -> refused && leads());
+            store = new Store(view, new Committer(view, state, 1e6, 48), state, () -> 0, VALUE_BYTES, termRevision, () -> { }, () -> { });
             cluster = new Cluster(policy, this, OtherAnswers.NONE, takeOver, term, List.of(TYPE), now);
         }
 
         void load() {
-            jobs.values().forEach(j -> cluster.onJob(j, 0, now));
-            pages.forEach((page, starts) -> starts.forEach(s -> cluster.onStartLoaded(page, s, now)));
-            cluster.onLoaded(now);
-            takeOver.read(revision, termRevision, now);
+            heard = words.size();
+            store.load(cluster, records(), (peer, note) -> { });
+            watched = state.revision();
+            takeOver.read(state.revision(), termRevision, now);
         }
 
         private void ask(Machine machine, long session) {
@@ -257,43 +280,51 @@
             return term == terms;
         }
 
+        /** What is stored, by a watch; and what others told users, by their word, also while nothing can be read. */
+        void learn() {
+            if (now < silentUntil || !leads()) {
+                return;
+            }
+            if (!state.down && !refused && random.nextInt(4) == 0) {
+                state.changes(Keys.JOBS, watched).forEach(item -> store.job(record(item)));
+                watched = state.revision();
+            }
+            if (random.nextInt(4) == 0) {
+                for (; heard < words.size(); heard++) {
+                    cluster.onJob(new JobRecord(words.get(heard), null, JobStatus.CANCELLED, 0, Long.MAX_VALUE), 0, now);
+                }
+            }
+        }
+
         @Override
         public void storeStarts(int page, List<Placement> starts) {
-            // Conditional on the term: a deposed leader's write fails, whenever it comes.
-            if (leads()) {
-                pages.put(page, starts.stream().map(p -> new StartedTask(p.machine().name, "m", "a", false,
-                        new TaskRef(p.job().spec.id(), p.task()))).toList());
-                revision++;
-            }
-            stored.add(() -> cluster.onStartsStored(page, leads() ? PageOutcome.STORED : PageOutcome.UNSURE));
+            store.starts(page, starts);
         }
 
         @Override
         public void storeProgress(int page, List<TaskProgress> progress) {
-            stored.add(() -> cluster.onProgressStored(page, PageOutcome.UNSURE));
+            store.progress(page, progress);
         }
 
         @Override
         public void storeDone(JobSpec job, long version) {
-            if (leads()) {
-                JobRecord done = new JobRecord(job.id(), null, JobStatus.DONE, 0, ++revision);
-                jobs.put(job.id(), done);
-                stored.add(() -> cluster.onJob(done, 0, now));
-            } else {
-                stored.add(() -> cluster.onEndNotStored(job.id()));
-            }
+            store.done(job, version);
         }
 
         @Override
-        public void storeImages(int page, List<Machine> machines) {
-            stored.add(() -> cluster.onImagesStored(page, PageOutcome.STORED));
+        public void storeCancelled(JobRecord job) {
+            store.cancelled(job);
         }
 
         @Override
-        public void storeCancelled(JobRecord job) { }
+        public void storeImages(int page, List<Machine> machines) {
+            store.images(page, machines);
+        }
 
         @Override
-        public void lookUp(String job) { }
+        public void lookUp(String job) {
+            store.lookUp(job);
+        }
 
         @Override
         public void rent(Rental rental) { }
@@ -321,13 +352,22 @@
 
     private final List<Copy> copies = new ArrayList<>();
     private final Map<String, JobRecord> jobs = new LinkedHashMap<>();
-    private final Map<Integer, List<StartedTask>> pages = new TreeMap<>();
+    private final Map<String, List<String>> needs = new HashMap<>();
+    private final StateWorld state;
+    /** Through which users ask; the first of them is refused with the leader. */
+    private final List<Admission> doors = new ArrayList<>();
+    /** Jobs that users were told to be cancelled. */
+    private final List<String> words = new ArrayList<>();
+    private final Map<String, Answer.Phase> said = new HashMap<>();
+    private final Map<String, Double> toldAt = new HashMap<>();
+
+    /** The state service refuses the leader alone. */
+    private boolean refused;
     private final Set<String> results = new HashSet<>();
     private final Picture picture = new Picture();
     private double now = 100;
     private int nextWorker = WORKERS + 10;
     private long terms;
-    private long revision = 10;
     private long termRevision;
     /** Nothing is lost any more. */
     private boolean calm;
@@ -337,6 +377,9 @@
     int restarts;
     int returned;
     int copied;
+    int cancelled;
+    int ended;
+    int putOff;
 
     StandbyWorld(long seed) {
         this(seed, 2);
@@ -346,23 +389,38 @@
     StandbyWorld(long seed, int questions) {
         this.questions = questions;
         random = new Random(seed);
+        state = new StateWorld(random.nextInt(), now);
+        state.changed = this::stored;
+        for (int i = 0; i < 3; i++) {
+            int number = i;
+            StateWorld.View view = state.seenBy(() -> refused && number == 0);
+            doors.add(new Admission(view, new Committer(view, state, 1e6, 48)::submit, state, () -> 0, new Types(), List.of(TEAM), List.of("a"), 4, CANCEL_S,
+                    this::told));
+        }
         for (int i = 0; i < WORKERS; i++) {
             workers.add(new Worker(i));
         }
         workers.forEach(w -> w.leaseFrom = now);
         for (int i = 0; i < 12; i++) {
             JobKind kind = i % 4 == 3 ? JobKind.SERVICE : JobKind.ARRAY;
+            List<String> needed = i % 4 == 2 ? List.of("job-" + (i - 2)) : i == 9 ? List.of("job-6", "job-8") : List.of();
             JobSpec spec = new JobSpec("job-" + i, "c", "t", kind, i % 2 == 0 ? Priority.NORMAL : Priority.HIGH, 2, new Resources(1, 1, 1), null, null,
-                    false, false, false, "img", 1, 60, 0, 0, null, List.of());
-            jobs.put(spec.id(), new JobRecord(spec.id(), spec, JobStatus.ACTIVE, 0, ++revision));
+                    false, false, false, "img", 1, 60, 0, 0, null, needed);
+            needs.put(spec.id(), needed);
+            state.put(Keys.job(spec.id()), Records.job(spec, 0));
         }
         takeOver(0);
     }
 
     /** @param hints 0: none, 1: what was told, 2: that with all kinds of mistakes */
     void takeOver(int hints) {
+        if (state.down) {
+            // Nobody can take the key.
+            return;
+        }
+        refused = false;
         terms++;
-        termRevision = ++revision;
+        termRevision = state.put(Keys.TERM, Cbor.map().put("term", terms));
         Leader next = new Leader(terms);
         next.load();
         if (hints > 0) {
@@ -389,6 +447,133 @@
         leaders.get(leaders.size() - 1).silentUntil = now + seconds;
     }
 
+    private static final class Types implements Admission.Knowledge {
+        @Override
+        public Collection<MachineType> types() {
+            return List.of(TYPE);
+        }
+
+        @Override
+        public Admission.Counts counts(String job) {
+            return null;
+        }
+    }
+
+    private static JobRecord record(StateWorld.Item item) {
+        try {
+            return Records.job(item.key(), item.value(), item.revision());
+        } catch (BadMessage e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** All that is stored, as one that comes to lead has it. */
+    private Mirror records() {
+        Mirror all = new Mirror();
+        try {
+            state.below(Keys.JOBS).forEach(item -> all.job(record(item), now));
+            for (StateWorld.Item item : state.below(Keys.PROGRESS)) {
+                all.progress(Keys.page(Keys.PROGRESS, item.key()), Records.progress(item.value()), item.revision());
+            }
+            for (StateWorld.Item item : state.below(Keys.STARTS)) {
+                all.starts(Keys.page(Keys.STARTS, item.key()), Records.starts(item.value()), item.revision());
+            }
+        } catch (BadMessage e) {
+            throw new AssertionError(e);
+        }
+        return all;
+    }
+
+    /** Something is stored: what ended stays as it is, and what is called done is done. */
+    private void stored(StateWorld.Item item) {
+        if (!item.key().startsWith(Keys.JOBS)) {
+            return;
+        }
+        JobRecord record = record(item);
+        JobRecord before = jobs.put(record.id(), record);
+        if (before != null && before.status().isFinal()) {
+            throw new AssertionError(record.id() + " was " + before.status() + " and is " + record.status());
+        }
+        if (record.status() == JobStatus.DONE) {
+            for (int task = 0; task < before.spec().tasks(); task++) {
+                if (!results.contains(record.id() + "/" + task)) {
+                    throw new AssertionError(record.id() + " is called done, and task " + task + " is not");
+                }
+            }
+            ended++;
+        }
+    }
+
+    /** @param ten of ten transactions, how many get no answer */
+    void late(int ten) {
+        state.lateShare = ten;
+    }
+
+    void outage(boolean down) {
+        state.down = down;
+    }
+
+    void refuse(boolean leaderOnly) {
+        refused = leaderOnly;
+    }
+
+    /** How many transactions were carried out late, with their conditions met. */
+    int lateApplied() {
+        return state.late;
+    }
+
+    /** A user cancels. */
+    void cancel(int number) {
+        int job = number / 3 % jobs.size();
+        doors.get(number % 3).cancel("job-" + job, answer("job-" + job));
+    }
+
+    /** A user asks. */
+    void ask(int number) {
+        int job = number / 3 % jobs.size();
+        doors.get(number % 3).query("job-" + job, answer("job-" + job));
+    }
+
+    /** The user remembers. */
+    private Consumer<Answer> answer(String job) {
+        Answer.Phase before = said.get(job);
+        return answer -> {
+            if (answer instanceof Answer.Later) {
+                putOff++;
+                return;
+            }
+            if (!(answer instanceof Answer.Known known)) {
+                throw new AssertionError(job + " was accepted, and is answered " + answer);
+            }
+            Answer.Phase now = known.job().phase();
+            if (before != null && before.isFinal() && before != now) {
+                throw new AssertionError(job + " was called " + before + " and is called " + now);
+            }
+            if (now == Answer.Phase.CANCELLED && !words.contains(job)) {
+                throw new AssertionError(job + " is called cancelled, and nobody noted that");
+            }
+            said.merge(job, now, (was, is) -> was.isFinal() ? was : is);
+        };
+    }
+
+    /** Noted, before the user hears it. */
+    private void told(JobRecord job) {
+        if (job.status() == JobStatus.CANCELLED && toldAt.putIfAbsent(job.id(), now) == null) {
+            words.add(job.id());
+            cancelled++;
+        }
+    }
+
+    private void cancelledAreGone() {
+        for (Worker w : workers) {
+            for (String task : w.on.keySet()) {
+                if (now > toldAt.getOrDefault(task.substring(0, task.indexOf('/')), now) + CANCEL_S) {
+                    throw new AssertionError(task + " is on " + w.name + " at " + now + ", its user was told that it is cancelled");
+                }
+            }
+        }
+    }
+
     void cut(int worker, boolean cut) {
         workers.get(worker % WORKERS).cut = cut;
     }
@@ -420,17 +605,29 @@
             w.deaf = false;
         });
         freeze(0);
+        late(0);
+        outage(false);
+        refuse(false);
         calm = true;
         pass(90, 0);
         int left = 0;
+        int running = workers.stream().mapToInt(w -> w.on.size()).sum();
         for (JobRecord job : jobs.values()) {
-            if (job.status() == JobStatus.ACTIVE) {
+            if (job.status() == JobStatus.ACTIVE && needs.get(job.id()).stream().anyMatch(n -> jobs.get(n).status() == JobStatus.CANCELLED)) {
+                throw new AssertionError(job.id() + " is not cancelled with what it needs");
+            }
+            if (job.status() == JobStatus.ACTIVE && needs.get(job.id()).stream().allMatch(n -> jobs.get(n).status() == JobStatus.DONE)) {
+                boolean over = true;
                 for (int task = 0; task < job.spec().tasks(); task++) {
                     left += results.contains(job.id() + "/" + task) ? 0 : 1;
+                    over &= results.contains(job.id() + "/" + task);
+                }
+                // A result that was lost on its way is found by another start, and for that there must be room.
+                if (over && running < LIMIT) {
+                    throw new AssertionError(job.id() + " is not called done when all is over");
                 }
             }
         }
-        int running = workers.stream().mapToInt(w -> w.on.size()).sum();
         if (running < Math.min(left, LIMIT)) {
             throw new AssertionError("only " + running + " of " + left + " tasks run when all is over, " + workers.stream().map(w -> w.name + " " + w.session + "." + w.seq + w.on).toList() + leaders.get(leaders.size() - 1).cluster.deposed()
                     + leaders.get(leaders.size() - 1).cluster.machines().stream().map(Machine::toString).toList());
@@ -486,6 +683,7 @@
                     o.end(Cluster.OrderOutcome.UNANSWERED, null);
                 }
             }
+            state.pass(now - state.now());
             List<Runnable> outcomes = new ArrayList<>(stored);
             stored.clear();
             outcomes.forEach(Runnable::run);
@@ -505,7 +703,9 @@
                     report(w);
                 }
             }
+            leaders.forEach(Leader::learn);
             leaders.forEach(Leader::tick);
+            cancelledAreGone();
         }
         quick = (int) leaders.stream().filter(l -> l.ledAfter < 1.25 * REPORT_S - 0.2).count();
     }
--- /dev/null
+++ b/src/test/java/io/kelphoist/state/StateWorld.java
@@ -0,0 +1,247 @@
+package io.kelphoist.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.kelphoist.wire.Cbor;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/**
+ * A state service in virtual time. A request is carried out some time after it was sent, and its answer comes some time after
+ * that; a transaction may get no answer and be carried out seconds later, after newer ones; all requests may be refused, or
+ * those of one controller.
+ */
+public final class StateWorld implements Reads, Transactions, StateClient.Loop {
+    /** A key's value as of its last change. */
+    public record Item(String key, ObjectNode value, long revision) { }
+
+    private record Later(double at, long order, Runnable what) { }
+
+    private static final double TIMEOUT_S = 1.5;
+    /** So long a request may take there, and its answer back. */
+    private static final double SLOWEST_S = 29 / 60.0;
+
+    private final PriorityQueue<Later> later = new PriorityQueue<>(Comparator.comparingDouble(Later::at).thenComparing(Later::order));
+    private final TreeMap<String, Item> stored = new TreeMap<>();
+    private final List<Item> changes = new ArrayList<>();
+    /** What was asked, in its order. */
+    public final List<String> asked = new ArrayList<>();
+    /** Told of each change, before anybody else can know of it. */
+    public Consumer<Item> changed = item -> { };
+    /** Refuses everybody. */
+    public boolean down;
+    /** Of ten transactions, how many get no answer and are carried out late. */
+    public int lateShare;
+    /** Transactions that were carried out late, with their conditions met. */
+    public int late;
+    /** Changes up to this revision are forgotten. */
+    public long oldest;
+    private double now;
+    private long order;
+    private long revision = 10;
+    private int salt;
+
+    public StateWorld(int salt, double startsAt) {
+        this.salt = salt;
+        this.now = startsAt;
+    }
+
+    @Override
+    public double now() {
+        return now;
+    }
+
+    @Override
+    public void after(double seconds, Runnable task) {
+        later.add(new Later(now + seconds, order++, task));
+    }
+
+    public void pass(double seconds) {
+        double until = now + seconds;
+        while (!later.isEmpty() && later.peek().at <= until) {
+            Later next = later.poll();
+            now = Math.max(now, next.at);
+            next.what.run();
+        }
+        now = until;
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    /** Null: there is none. */
+    public Item get(String key) {
+        return stored.get(key);
+    }
+
+    public List<Item> below(String prefix) {
+        return stored.tailMap(prefix).values().stream().takeWhile(i -> i.key().startsWith(prefix)).toList();
+    }
+
+    /** Changes below a prefix after a revision, oldest first. */
+    public List<Item> changes(String prefix, long after) {
+        return changes.stream().filter(c -> c.revision() > after && c.key().startsWith(prefix)).toList();
+    }
+
+    /** Somebody stores something, whatever the troubles. */
+    public long put(String key, ObjectNode value) {
+        Item item = new Item(key, value, ++revision);
+        stored.put(key, item);
+        changes.add(item);
+        changed.accept(item);
+        return revision;
+    }
+
+    private int draw(int of) {
+        salt = (int) ((salt * 48271L + 11) % 2147483647L);
+        return Math.floorMod(salt, of);
+    }
+
+    private double delay() {
+        return draw(1000) / 1000.0 * SLOWEST_S;
+    }
+
+    private <T> void answer(Consumer<T> handler, T result) {
+        after(delay(), () -> handler.accept(result));
+    }
+
+    // ---- as everybody sees it ----
+
+    @Override
+    public void get(String key, Consumer<StateClient.Result> handler) {
+        seenBy(() -> false).get(key, handler);
+    }
+
+    @Override
+    public void range(String prefix, Consumer<StateClient.Range> handler) {
+        seenBy(() -> false).range(prefix, handler);
+    }
+
+    @Override
+    public void changes(String prefix, long after, Consumer<StateClient.Result> handler) {
+        seenBy(() -> false).changes(prefix, after, handler);
+    }
+
+    @Override
+    public void txn(List<StateClient.Condition> conditions, List<StateClient.Change> puts, boolean urgent, Consumer<StateClient.Result> handler) {
+        seenBy(() -> false).txn(conditions, puts, urgent, handler);
+    }
+
+    /** The same for a controller that may be refused alone. */
+    public View seenBy(BooleanSupplier refused) {
+        return new View(refused);
+    }
+
+    /** The state service as one controller sees it. */
+    public final class View implements Reads, Transactions {
+        private final BooleanSupplier refused;
+
+        private View(BooleanSupplier refused) {
+            this.refused = refused;
+        }
+
+        private void handle(Runnable what, Runnable isRefused) {
+            after(delay(), () -> {
+                if (down || refused.getAsBoolean()) {
+                    isRefused.run();
+                } else {
+                    what.run();
+                }
+            });
+        }
+
+        private void handle(Consumer<StateClient.Result> handler, Runnable what) {
+            handle(what, () -> answer(handler, new StateClient.Refused(false)));
+        }
+
+        @Override
+        public void get(String key, Consumer<StateClient.Result> handler) {
+            asked.add("get");
+            handle(handler, () -> {
+                Item item = stored.get(key);
+                if (item == null) {
+                    answer(handler, new StateClient.Done(404, Cbor.map().put("logbook", revision)));
+                } else {
+                    ObjectNode m = Cbor.map().put("entry", item.revision);
+                    m.set("value", item.value);
+                    answer(handler, new StateClient.Done(200, m));
+                }
+            });
+        }
+
+        @Override
+        public void range(String prefix, Consumer<StateClient.Range> handler) {
+            asked.add("range");
+            handle(() -> {
+                List<JsonNode> items = new ArrayList<>();
+                for (Item item : below(prefix)) {
+                    ObjectNode m = Cbor.map().put("key", item.key).put("entry", item.revision);
+                    m.set("value", item.value);
+                    items.add(m);
+                }
+                answer(handler, new StateClient.Range(items, revision));
+            }, () -> answer(handler, null));
+        }
+
+        @Override
+        public void changes(String prefix, long after, Consumer<StateClient.Result> handler) {
+            asked.add("changes");
+            handle(handler, () -> {
+                if (after < oldest) {
+                    answer(handler, new StateClient.Done(410, Cbor.map()));
+                    return;
+                }
+                ObjectNode m = Cbor.map().put("logbook", revision);
+                ArrayNode events = m.putArray("events");
+                for (Item c : StateWorld.this.changes(prefix, after)) {
+                    events.addObject().put("put", c.key).put("entry", c.revision).set("value", c.value);
+                }
+                answer(handler, new StateClient.Done(200, m));
+            });
+        }
+
+        @Override
+        public void txn(List<StateClient.Condition> conditions, List<StateClient.Change> puts, boolean urgent, Consumer<StateClient.Result> handler) {
+            if (!down && !refused.getAsBoolean() && draw(10) < lateShare) {
+                after(2 + draw(100) / 10.0, () -> late += apply(conditions, puts) > 0 ? 1 : 0);
+                after(TIMEOUT_S, () -> handler.accept(new StateClient.Unsure()));
+                return;
+            }
+            handle(handler, () -> {
+                long as = apply(conditions, puts);
+                ObjectNode m = Cbor.map().put("logbook", as > 0 ? as : revision);
+                if (as == 0) {
+                    ArrayNode failed = m.putArray("failed");
+                    conditions.stream().filter(c -> version(c.key()) != c.version()).forEach(c -> failed.add(c.key()));
+                }
+                answer(handler, new StateClient.Done(as > 0 ? 200 : 409, m));
+            });
+        }
+    }
+
+    private long version(String key) {
+        return stored.containsKey(key) ? stored.get(key).revision() : 0;
+    }
+
+    /** Its revision; 0: a condition does not hold. */
+    private long apply(List<StateClient.Condition> conditions, List<StateClient.Change> puts) {
+        if (conditions.stream().anyMatch(c -> version(c.key()) != c.version())) {
+            return 0;
+        }
+        revision++;
+        for (StateClient.Change c : puts) {
+            Item item = new Item(c.key(), c.value(), revision);
+            stored.put(c.key(), item);
+            changes.add(item);
+            changed.accept(item);
+        }
+        return revision;
+    }
+}
