Writes do not wait for a transaction that gets no answer

Change: without an answer after 0.25 s the next is sent, three at the most, each conditional on what it changes; the connections for what is urgent grow with them. While all is answered nothing differs.

--- a/src/main/java/io/kelphoist/daemon/Controller.java
+++ b/src/main/java/io/kelphoist/daemon/Controller.java
@@ -45,8 +45,8 @@
     /** Records that were heard of so long ago are followed: a question for changes is held for up to 4 s. */
     private static final double FOLLOWS_S = 5;
     private static final int STATE_CONNECTIONS = 5;
-    /** Leases, one transaction, the leader's keys. */
-    private static final int URGENT_CONNECTIONS = 3;
+    /** Leases, transactions, the leader's keys. */
+    private static final int URGENT_CONNECTIONS = 2 + Committer.MOST_OPEN;
     /** Of the state service's requests, for each of three controllers at the worst of times; and what of that users' questions may take. */
     private static final double STATE_SHARE = 0.45;
     private static final double USER_SHARE = 0.6;
--- a/src/main/java/io/kelphoist/state/Committer.java
+++ b/src/main/java/io/kelphoist/state/Committer.java
@@ -17,7 +17,8 @@
 
 /**
  * Group commit: writes that wait at the same time share transactions, within the limits of the state service.
- * One transaction is under way at a time. What users wait for goes before the rest.
+ * One transaction is under way at a time, and further ones while that has no answer for longer than usual: each is conditional
+ * on what it changes, so that they may be carried out in any order, also seconds later. What users wait for goes before the rest.
  */
 public final class Committer {
     /** How a write ended. */
@@ -53,6 +54,10 @@
     /** Conditions that a transaction may have for each change that it may have. */
     private static final int CONDITIONS_PER_OP = 4;
     private static final int MOST_WAITING = 2000;
+    /** A transaction usually takes some 10 ms; without an answer after this, others no longer wait for it. */
+    private static final double USUALLY_S = 0.25;
+    /** Each takes a connection, which leases and the leader's keys need as well. */
+    public static final int MOST_OPEN = 3;
     private final Transactions state;
     private final StateClient.Loop loop;
     private final RateGate writes;
@@ -61,7 +66,12 @@
     private final Deque<Write> others = new ArrayDeque<>();
     /** So many writes may share a transaction: fewer after one was refused as too large. */
     private int together = Integer.MAX_VALUE;
-    private boolean busy;
+    private boolean pausing;
+    private int open;
+    /** The number of the newest one that was sent, when that was, and whether it has an answer. */
+    private long sent;
+    private double sentAt;
+    private boolean answered = true;
 
     public Committer(Transactions state, StateClient.Loop loop, double writeRps, int txnOps) {
         this.state = state;
@@ -94,13 +104,13 @@
     }
 
     private void pump() {
-        if (busy || waiting() == 0) {
+        if (held() || waiting() == 0) {
             return;
         }
         double now = loop.now();
         expire(urgent, now);
         expire(others, now);
-        if (busy || waiting() == 0) {
+        if (held() || waiting() == 0) {
             return;
         }
         List<Write> batch = batch();
@@ -119,6 +129,11 @@
         send(batch);
     }
 
+    /** Nothing is to be sent now; it is looked again when that is over. */
+    private boolean held() {
+        return pausing || open >= MOST_OPEN || !answered && loop.now() < sentAt + USUALLY_S;
+    }
+
     private List<Write> batch() {
         List<Write> batch = new ArrayList<>();
         Set<String> keys = new HashSet<>();
@@ -144,15 +159,19 @@
     }
 
     private void pause(double seconds) {
-        busy = true;
+        pausing = true;
         loop.after(Math.max(0.01, seconds), () -> {
-            busy = false;
+            pausing = false;
             pump();
         });
     }
 
     private void send(List<Write> batch) {
-        busy = true;
+        open++;
+        long number = ++sent;
+        sentAt = loop.now();
+        answered = false;
+        loop.after(USUALLY_S + 0.001, this::pump);
         Map<String, StateClient.Condition> conditions = new LinkedHashMap<>();
         List<StateClient.Change> changes = new ArrayList<>();
         for (Write w : batch) {
@@ -161,7 +180,8 @@
         }
         // Bounded by the limit of changes: what users ask for waits rather than what they submit.
         state.txn(List.copyOf(conditions.values()), changes, true, result -> {
-            busy = false;
+            open--;
+            answered |= number == sent;
             if (result instanceof StateClient.Done d && d.status() == 200) {
                 long revision = d.body().path("logbook").asLong();
                 finish(batch, w -> w.done().on(Outcome.STORED, revision));
--- /dev/null
+++ b/src/test/java/io/kelphoist/state/CommitterTest.java
@@ -0,0 +1,90 @@
+package io.kelphoist.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kelphoist.wire.Cbor;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** What waits for a transaction that gets no answer, and what does not. */
+class CommitterTest {
+    private final StateWorld loop = new StateWorld(1, 0);
+    private final List<List<StateClient.Change>> sent = new ArrayList<>();
+    private final List<Consumer<StateClient.Result>> open = new ArrayList<>();
+    private final List<String> outcomes = new ArrayList<>();
+    private final Committer committer = new Committer((conditions, changes, urgent, handler) -> {
+        sent.add(changes);
+        open.add(handler);
+    }, loop, 100, 8);
+
+    private void write(String key) {
+        committer.submit(new Committer.Write(List.of(new StateClient.Condition(key, 0)), List.of(new StateClient.Change(key, Cbor.map(), 0)), 10, 100, true,
+                false, (outcome, revision) -> outcomes.add(key + " " + outcome)));
+    }
+
+    private void answer(int number, StateClient.Result result) {
+        open.get(number).accept(result);
+    }
+
+    private static StateClient.Result stored(long revision) {
+        return new StateClient.Done(200, Cbor.map().put("logbook", revision));
+    }
+
+    /** Usually one at a time, so that what waits meanwhile shares the next. */
+    @Test
+    void whatWaitsSharesTheNext() {
+        write("a");
+        write("b");
+        write("c");
+        assertEquals(1, sent.size());
+        loop.pass(0.05);
+        answer(0, stored(5));
+        assertEquals(2, sent.size());
+        assertEquals(2, sent.get(1).size());
+        answer(1, stored(6));
+        assertEquals(List.of("a STORED", "b STORED", "c STORED"), outcomes);
+    }
+
+    /** One without an answer for longer than usual holds the others back no more; a few at the most are open. */
+    @Test
+    void doesNotWaitForWhatIsNotAnswered() {
+        write("a");
+        write("b");
+        loop.pass(0.2);
+        assertEquals(1, sent.size());
+        loop.pass(0.1);
+        assertEquals(2, sent.size());
+        answer(1, stored(5));
+        assertEquals(List.of("b STORED"), outcomes);
+        // The first is still open: the next ones go at once all the same.
+        write("c");
+        write("d");
+        assertEquals(3, sent.size());
+        loop.pass(0.3);
+        assertEquals(4, sent.size());
+        write("e");
+        loop.pass(2);
+        assertEquals(4, sent.size());
+        answer(0, new StateClient.Unsure());
+        assertEquals(5, sent.size());
+        assertEquals(List.of("b STORED", "a UNSURE"), outcomes);
+    }
+
+    /** After a refusal it is left alone for a moment, whatever else is open. */
+    @Test
+    void pausesAfterARefusal() {
+        write("a");
+        loop.pass(0.3);
+        write("b");
+        assertEquals(2, sent.size());
+        answer(1, new StateClient.Refused(true));
+        write("c");
+        assertEquals(2, sent.size());
+        loop.pass(0.2);
+        assertEquals(3, sent.size());
+        assertTrue(sent.get(2).size() == 2, "what was refused is sent with what came since");
+    }
+}
