Elections of three controllers in one world: never two that may act, one in the end

Elections had scenarios only. ElectionTest plays 3,000 stories over three controllers: clocks that drift, links held one way or both and delivered late, processes that stand still, end and are back after 0.1 s, a state service that is down, refuses one or the leader, and carries out the taking of the key late, hand-overs.

--- /dev/null
+++ b/src/test/java/io/kelphoist/core/ElectionTest.java
@@ -0,0 +1,68 @@
+package io.kelphoist.core;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+
+/** Whatever is cut, held, refused, frozen, restarted or carried out late: one leader at a time, and one in the end. */
+class ElectionTest {
+    private static int terms;
+    private static int handedOver;
+    private static int lateTaken;
+    private static int actedByGrants;
+
+    private static void play(ElectionWorld world, int step) {
+        int node = step / 20 % 3;
+        int how = step / 60;
+        boolean on = how % 2 == 0;
+        switch (step % 20) {
+            case 0, 1, 2 -> world.link(node, (node + 1) % 3, on);
+            case 3, 4, 5 -> world.link((node + 1) % 3, node, on);
+            case 6 -> {
+                for (int other = 1; other < 3; other++) {
+                    world.link(node, (node + other) % 3, on);
+                    world.link((node + other) % 3, node, on);
+                }
+                world.refuse(node, on);
+            }
+            case 7, 8 -> world.crash(node, on ? 0.1 : 5);
+            case 9 -> {
+                for (int n = 0; n < 3; n++) {
+                    world.crash(n, n == node ? 0.3 : 6);
+                }
+            }
+            case 10, 11 -> world.freeze(node, how % 10);
+            case 12, 13 -> world.outage(on);
+            case 14 -> world.refuse(node, on);
+            case 15 -> world.refuseLeader();
+            case 16 -> world.late(how % 8);
+            case 17, 18 -> world.resign(node);
+            default -> { }
+        }
+        world.pass(0.1 + how % 12 / 3.0);
+    }
+
+    @Property(tries = 3000, seed = "20261206")
+    void oneLeaderAtATime(@ForAll long seed, @ForAll @Size(min = 5, max = 60) List<@IntRange(min = 0, max = 1199) Integer> story) {
+        ElectionWorld world = new ElectionWorld(seed);
+        world.pass(8);
+        story.forEach(step -> play(world, step));
+        world.settle();
+        terms += world.terms;
+        handedOver += world.handedOver;
+        lateTaken += world.lateTaken;
+        actedByGrants += world.actedByGrants;
+    }
+
+    /** The property would hold as well if nobody ever led, handed over, or led by grants alone. */
+    @AfterContainer
+    static void somethingHappened() {
+        assertTrue(terms > 5_000 && handedOver > 1_000 && lateTaken > 30 && actedByGrants > 20_000,
+                terms + " terms, " + handedOver + " handed over, " + lateTaken + " taken late, " + actedByGrants + " steps by grants alone");
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kelphoist/core/ElectionWorld.java
@@ -0,0 +1,415 @@
+package io.kelphoist.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Three controllers' elections over a state service and a network as the protocol describes them: clocks that drift, messages
+ * that are held and delivered late, one way or both, processes that stand still, end, and are back at once, leases that last
+ * through an outage, transactions that get no answer and are carried out late, a state service that refuses one controller. Time
+ * is true time in seconds; nobody but the check sees it: no two may act at once.
+ */
+final class ElectionWorld {
+    private static final double LEASE_S = 3;
+    private static final double GRANT_S = 1.5;
+    private static final double STEP_S = 0.05;
+
+    private record Later(double at, long order, Runnable what) { }
+
+    /** A key's value, with the lease that it hangs on; 0: none. */
+    private record Key(String node, long term, long lease, long revision) { }
+
+    private final class Node implements Election.Actions {
+        final String name;
+        final double rate;
+        final double offset;
+        Election election;
+        boolean up = true;
+        long life;
+        double frozenUntil;
+        boolean refused;
+        boolean tried;
+        boolean released;
+        long newest;
+
+        Node(String name, double offset, double rate) {
+            this.name = name;
+            this.offset = offset;
+            this.rate = rate;
+        }
+
+        double clock() {
+            return offset + now * rate;
+        }
+
+        void born() {
+            life++;
+            up = true;
+            tried = false;
+            released = false;
+            newest = 0;
+            election = new Election(name, NAMES.stream().filter(n -> !n.equals(name)).toList(), LEASE_S, GRANT_S, clock(), this);
+            readKeys();
+        }
+
+        boolean runs() {
+            return up && now >= frozenUntil;
+        }
+
+        /** Later, if this life still runs then; what comes while it stands still waits for that. */
+        void after(double seconds, Runnable what) {
+            long mine = life;
+            later(seconds, () -> here(mine, what));
+        }
+
+        private void here(long mine, Runnable what) {
+            if (life != mine || !up) {
+                return;
+            }
+            if (now < frozenUntil) {
+                later(frozenUntil - now + 0.001, () -> here(mine, what));
+            } else {
+                what.run();
+            }
+        }
+
+        /** A request to the state service and its answer; null: refused, and surely not carried out. */
+        private <T> void ask(Supplier<T> handled, Consumer<T> answered) {
+            double there = random.nextInt(20) / 100.0;
+            later(there, () -> {
+                T answer = outage || refused ? null : handled.get();
+                after(random.nextInt(20) / 100.0, () -> answered.accept(answer));
+            });
+        }
+
+        void readKeys() {
+            ask(() -> new Object[] {leader, term, revision}, read -> {
+                if (read == null) {
+                    after(0.25, this::readKeys);
+                    return;
+                }
+                Key its = (Key) read[0];
+                Key last = (Key) read[1];
+                if ((long) read[2] < newest) {
+                    return;
+                }
+                newest = (long) read[2];
+                if (its != null && its.node.equals(name) && !tried && !released) {
+                    // It led before this process began.
+                    released = true;
+                    release(its.lease);
+                }
+                election.onKeys(its == null ? null : its.node, its == null ? 0 : its.term, last == null ? 0 : last.term, clock());
+            });
+        }
+
+        @Override
+        public void take() {
+            tried = true;
+            double sentAt = clock();
+            ask(() -> {
+                leases.put(++lastLease, now + LEASE_S);
+                return lastLease;
+            }, lease -> {
+                if (lease == null) {
+                    election.onTakeFailed(clock());
+                    return;
+                }
+                ask(() -> new Key[] {leader, term}, read -> {
+                    if (read == null || read[0] != null) {
+                        failed(lease);
+                        return;
+                    }
+                    take(lease, read[1] == null ? 0 : read[1].term, read[1] == null ? 0 : read[1].revision, sentAt);
+                });
+            });
+        }
+
+        private void take(long lease, long lastTerm, long version, double sentAt) {
+            Supplier<Long> txn = () -> {
+                // A put under a lease that is over is refused whatever the conditions.
+                if (!leases.containsKey(lease) || leader != null || (term == null ? 0 : term.revision) != version) {
+                    return 0L;
+                }
+                term = new Key(name, lastTerm + 1, 0, ++revision);
+                leader = new Key(name, lastTerm + 1, lease, revision);
+                keysChanged();
+                return revision;
+            };
+            if (!outage && !refused && random.nextInt(10) < lateShare) {
+                later(random.nextInt(120) / 10.0, () -> lateTaken += outage || txn.get() == 0 ? 0 : 1);
+                after(1.5, () -> ask(() -> leader, read -> {
+                    if (read != null && read.node.equals(name) && read.term == lastTerm + 1 && read.lease == lease) {
+                        taken(lease, read.term, read.revision, sentAt);
+                    } else {
+                        failed(lease);
+                    }
+                }));
+                return;
+            }
+            ask(txn, as -> {
+                if (as != null && as > 0) {
+                    taken(lease, lastTerm + 1, as, sentAt);
+                } else {
+                    failed(lease);
+                }
+            });
+        }
+
+        private void taken(long lease, long itsTerm, long as, double sentAt) {
+            newest = Math.max(newest, as);
+            election.onTaken(itsTerm, lease, sentAt, clock());
+        }
+
+        private void failed(long lease) {
+            release(lease);
+            election.onTakeFailed(clock());
+            readKeys();
+        }
+
+        @Override
+        public void renew(long lease) {
+            double sentAt = clock();
+            ask(() -> {
+                if (leases.containsKey(lease)) {
+                    leases.put(lease, now + LEASE_S);
+                    return true;
+                }
+                return false;
+            }, alive -> {
+                if (alive != null) {
+                    election.onRenewed(lease, alive, sentAt, clock());
+                    if (!alive) {
+                        readKeys();
+                    }
+                }
+            });
+        }
+
+        @Override
+        public void release(long lease) {
+            ask(() -> {
+                end(lease);
+                return true;
+            }, done -> readKeys());
+        }
+
+        @Override
+        public void handOver(long endedTerm, long lease) {
+            handedOver++;
+            boolean first = random.nextBoolean();
+            ask(() -> {
+                end(lease);
+                return true;
+            }, done -> nodes.stream().filter(n -> n != this).forEach(to -> send(this, to, () -> {
+                to.election.onOver(endedTerm, first, to.clock());
+                to.election.tick(to.clock());
+            })));
+        }
+
+        @Override
+        public void askForGrant(String peer, long itsTerm, double sentAt) {
+            Node to = nodes.stream().filter(n -> n.name.equals(peer)).findFirst().orElseThrow();
+            send(this, to, () -> {
+                if (to.election.grant(itsTerm, to.clock())) {
+                    send(to, this, () -> election.onGranted(peer, itsTerm, sentAt));
+                }
+            });
+        }
+
+        @Override
+        public boolean follows() {
+            return true;
+        }
+
+        @Override
+        public void began(long itsTerm) {
+            terms++;
+        }
+
+        @Override
+        public void ended() { }
+    }
+
+    private static final List<String> NAMES = List.of("n0", "n1", "n2");
+
+    private final Random random;
+    private final List<Node> nodes = new ArrayList<>();
+    private final PriorityQueue<Later> flying = new PriorityQueue<>(Comparator.comparingDouble(Later::at).thenComparing(Later::order));
+    private final Map<List<Node>, List<Runnable>> held = new LinkedHashMap<>();
+    private final boolean[][] cut = new boolean[3][3];
+    private final Map<Long, Double> leases = new HashMap<>();
+    private double now = 100;
+    private long order;
+    private long lastLease;
+    private long revision = 10;
+    private Key leader;
+    private Key term;
+    private boolean outage;
+    private int lateShare;
+    int terms;
+    int handedOver;
+    int lateTaken;
+    int actedByGrants;
+
+    ElectionWorld(long seed) {
+        random = new Random(seed);
+        double[] rates = {1, 1 + Policy.DRIFT, 1 + Policy.DRIFT / 2};
+        for (int i = 0; i < 3; i++) {
+            nodes.add(new Node(NAMES.get(i), 1000 * i, rates[i]));
+        }
+        nodes.forEach(Node::born);
+    }
+
+    private void later(double seconds, Runnable what) {
+        flying.add(new Later(now + seconds, order++, what));
+    }
+
+    private void keysChanged() {
+        for (Node n : nodes) {
+            n.after(random.nextInt(30) / 100.0, () -> {
+                if (!outage && !n.refused) {
+                    n.readKeys();
+                }
+            });
+        }
+    }
+
+    private void end(long lease) {
+        if (leases.remove(lease) != null && leader != null && leader.lease == lease) {
+            leader = null;
+            revision++;
+            keysChanged();
+        }
+    }
+
+    /** A message to another controller; over a link that is cut it is held until that is mended. */
+    private void send(Node from, Node to, Runnable what) {
+        long life = to.life;
+        Runnable arrives = () -> {
+            // A new process has new connections; what was sent on an old one is lost with it.
+            if (to.life == life) {
+                to.after(0, what);
+            }
+        };
+        if (cut[nodes.indexOf(from)][nodes.indexOf(to)]) {
+            held.computeIfAbsent(List.of(from, to), k -> new ArrayList<>()).add(arrives);
+        } else {
+            later(random.nextInt(8) / 100.0, arrives);
+        }
+    }
+
+    // ---- what may happen ----
+
+    void link(int a, int b, boolean isCut) {
+        cut[a][b] = isCut;
+        if (!isCut) {
+            List<Runnable> late = held.remove(List.of(nodes.get(a), nodes.get(b)));
+            if (late != null) {
+                late.forEach(what -> later(0.01, what));
+            }
+        }
+    }
+
+    void crash(int node, double backS) {
+        Node n = nodes.get(node);
+        n.up = false;
+        long life = n.life;
+        later(backS, () -> {
+            if (n.life == life) {
+                n.born();
+            }
+        });
+    }
+
+    /** It stands still while its clock runs on. */
+    void freeze(int node, double seconds) {
+        nodes.get(node).frozenUntil = now + seconds;
+    }
+
+    void outage(boolean down) {
+        if (outage && !down) {
+            // All leases have their full time again.
+            leases.replaceAll((lease, until) -> now + LEASE_S);
+        }
+        outage = down;
+    }
+
+    void refuse(int node, boolean refused) {
+        nodes.get(node).refused = refused;
+    }
+
+    void refuseLeader() {
+        nodes.stream().filter(n -> n.election.state() == Election.State.LEADER).forEach(n -> n.refused = true);
+    }
+
+    void late(int ofTen) {
+        lateShare = ofTen;
+    }
+
+    void resign(int node) {
+        Node n = nodes.get(node);
+        if (n.runs()) {
+            n.election.resign("test", n.clock());
+        }
+    }
+
+    /** All troubles are over: soon there is one that may act, and it is the same for a while. */
+    void settle() {
+        for (int a = 0; a < 3; a++) {
+            refuse(a, false);
+            freeze(a, 0);
+            for (int b = 0; b < 3; b++) {
+                link(a, b, false);
+            }
+        }
+        late(0);
+        outage(false);
+        pass(40);
+        if (nodes.stream().noneMatch(this::acts)) {
+            throw new AssertionError("nobody leads when all is over: " + nodes.stream().map(n -> n.name + " " + n.election.state() + " sees " + n.election.leader()).toList());
+        }
+    }
+
+    private boolean acts(Node n) {
+        return n.runs() && n.election.mayAct(n.clock());
+    }
+
+    void pass(double seconds) {
+        for (double until = now + seconds; now < until;) {
+            now += STEP_S;
+            if (!outage) {
+                for (Map.Entry<Long, Double> lease : List.copyOf(leases.entrySet())) {
+                    // It may end up to 100 ms late, but never early.
+                    if (now > lease.getValue() + random.nextInt(3) * STEP_S) {
+                        end(lease.getKey());
+                    }
+                }
+            }
+            while (!flying.isEmpty() && flying.peek().at() <= now) {
+                flying.poll().what().run();
+            }
+            for (Node n : nodes) {
+                if (n.runs()) {
+                    n.election.tick(n.clock());
+                    if (random.nextInt(40) == 0) {
+                        n.readKeys();
+                    }
+                }
+            }
+            List<Node> acting = nodes.stream().filter(this::acts).toList();
+            if (acting.size() > 1) {
+                throw new AssertionError(acting.stream().map(n -> n.name + " for term " + n.election.term()).toList() + " may act at once, at " + now);
+            }
+            actedByGrants += acting.size() == 1 && (leader == null || !leader.node.equals(acting.get(0).name) || outage) ? 1 : 0;
+        }
+    }
+}
