What a controller says to know of the jobs is held against the state service

The horizon rests on it: FollowedTest plays 2,000 stories of a state service that forgets changes, refuses, is down and answers late, and holds each stored change against the moment up to which all are said to be known. RecordFeed and Followed take Watches, which StateClient is; no behaviour changes.

--- a/src/main/java/io/kelphoist/daemon/Followed.java
+++ b/src/main/java/io/kelphoist/daemon/Followed.java
@@ -8,6 +8,7 @@
 import io.kelphoist.state.RecordFeed;
 import io.kelphoist.state.Records;
 import io.kelphoist.state.StateClient;
+import io.kelphoist.state.Watches;
 import io.kelphoist.wire.BadMessage;
 import java.util.EnumMap;
 import java.util.List;
@@ -39,7 +40,7 @@
     private double knownUntil = Double.NEGATIVE_INFINITY;
     private double currentAt = Double.NEGATIVE_INFINITY;
 
-    Followed(StateClient state, StateClient.Loop loop) {
+    Followed(Watches state, StateClient.Loop loop) {
         this.loop = loop;
         PREFIXES.forEach((part, prefix) -> feeds.put(part, new RecordFeed(state, loop, prefix, part == Part.JOBS ? HOLD_MS : FOLLOWER_HOLD_MS,
                 new RecordFeed.Reader() {
--- a/src/main/java/io/kelphoist/state/RecordFeed.java
+++ b/src/main/java/io/kelphoist/state/RecordFeed.java
@@ -24,7 +24,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(RecordFeed.class);
     private static final double AGAIN_S = 0.25;
 
-    private final StateClient state;
+    private final Watches state;
     private final StateClient.Loop loop;
     private final String prefix;
     private final int holdMs;
@@ -41,7 +41,7 @@
     private boolean watching;
 
     /** @param holdMs how long a question for changes may wait for one */
-    public RecordFeed(StateClient state, StateClient.Loop loop, String prefix, int holdMs, Reader reader) {
+    public RecordFeed(Watches state, StateClient.Loop loop, String prefix, int holdMs, Reader reader) {
         this.state = state;
         this.loop = loop;
         this.prefix = prefix;
--- a/src/main/java/io/kelphoist/state/StateClient.java
+++ b/src/main/java/io/kelphoist/state/StateClient.java
@@ -13,7 +13,7 @@
 import java.util.function.Consumer;
 
 /** The state service by its protocol. Requests count against its limits; renewals go first. */
-public final class StateClient implements Reads, Transactions {
+public final class StateClient implements Watches, Transactions {
     /** How a request ended. */
     public sealed interface Result { }
 
@@ -151,6 +151,7 @@
         send("GET", "/changes?starts=" + encode(prefix) + "&after=" + after, null, false, handler);
     }
 
+    @Override
     public void watch(String prefix, long after, int holdMs, Consumer<Result> handler) {
         requests.force(1, loop.now());
         watches.call("GET", "/changes?starts=" + encode(prefix) + "&after=" + after + "&hold_ms=" + holdMs, null, holdMs + 3000,
--- /dev/null
+++ b/src/test/java/io/kelphoist/daemon/FollowedTest.java
@@ -0,0 +1,136 @@
+package io.kelphoist.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kelphoist.core.JobKind;
+import io.kelphoist.core.JobRecord;
+import io.kelphoist.core.JobSpec;
+import io.kelphoist.core.JobStatus;
+import io.kelphoist.core.Priority;
+import io.kelphoist.core.Resources;
+import io.kelphoist.state.Keys;
+import io.kelphoist.state.Records;
+import io.kelphoist.state.StateWorld;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.lifecycle.AfterContainer;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Up to when all changes of jobs are known is what leases are renewed by: whatever the state service forgets, refuses, delays or
+ * does not answer, each change that was stored before that moment has been taken in.
+ */
+class FollowedTest {
+    private static final int JOBS = 5;
+    private static int forgotten;
+    private static int proofs;
+
+    private StateWorld world;
+    private Followed followed;
+    private boolean refused;
+    /** When each job's last change was stored, and as what. */
+    private Map<String, Double> changedAt;
+    private Map<String, Long> versions;
+
+    private void begin(int salt) {
+        world = new StateWorld(salt, 100);
+        refused = false;
+        changedAt = new HashMap<>();
+        versions = new HashMap<>();
+        followed = new Followed(world.seenBy(() -> refused), world);
+    }
+
+    private static JobSpec spec(String id) {
+        return new JobSpec(id, "c", "t", JobKind.ARRAY, Priority.NORMAL, 1, new Resources(1, 1, 1), null, null, false, false, false, "i", 1, 1, 0,
+                0, null, List.of());
+    }
+
+    private void change(String id, boolean cancelled) {
+        if (world.down) {
+            return;
+        }
+        JobRecord job = new JobRecord(id, spec(id), JobStatus.ACTIVE, 1, 0);
+        versions.put(id, world.put(Keys.job(id), cancelled ? Records.cancelled(job, 4000) : Records.job(job.spec(), 1)));
+        changedAt.put(id, world.now());
+    }
+
+    private void check() {
+        Map<String, Long> known = new HashMap<>();
+        followed.mirror().jobs().forEach(job -> known.put(job.id(), job.version()));
+        changedAt.forEach((id, at) -> assertTrue(at >= followed.knownUntil() || known.getOrDefault(id, -1L) >= versions.get(id),
+                () -> id + " was changed at " + at + ", all is said to be known until " + followed.knownUntil() + ", and " + known.get(id) + " is"));
+        assertTrue(followed.knownUntil() <= world.now());
+    }
+
+    private void step(int step) {
+        int how = step / 16;
+        switch (step % 16) {
+            case 0, 1, 2, 3 -> change("job-" + how % JOBS, false);
+            case 4, 5 -> change("job-" + how % JOBS, true);
+            case 6 -> {
+                world.oldest = world.revision() + how % 2;
+                forgotten++;
+            }
+            case 7 -> world.down = how % 2 == 0;
+            case 8 -> refused = how % 2 == 0;
+            case 9, 10 -> {
+                double asked = world.now();
+                followed.prove(mirror -> {
+                    proofs++;
+                    assertTrue(followed.knownUntil() >= asked, "what is proved is as of a moment after it was asked");
+                    check();
+                    followed.follow();
+                });
+            }
+            case 11 -> followed.follow();
+            default -> { }
+        }
+        for (int i = 0; i <= how % 12; i++) {
+            world.pass(0.2);
+            check();
+        }
+    }
+
+    @Property(tries = 2000, seed = "20261207")
+    void nothingIsMissedThatIsSaidToBeKnown(@ForAll @Size(min = 10, max = 80) List<@IntRange(min = 0, max = 1919) Integer> story,
+                                            @ForAll @IntRange(min = 0, max = 996) int salt) {
+        begin(salt);
+        story.forEach(this::step);
+        world.down = false;
+        refused = false;
+        world.oldest = Math.min(world.oldest, world.revision());
+        followed.follow();
+        world.pass(20);
+        assertTrue(followed.knownUntil() > world.now() - 6, "it is known again when all is over");
+        check();
+    }
+
+    @AfterContainer
+    static void somethingHappened() {
+        assertTrue(forgotten > 1000 && proofs > 2000, forgotten + " times changes were forgotten, " + proofs + " proofs");
+    }
+
+    /** The state service has forgotten the changes in between: all is read anew, and what was missed is there. */
+    @Test
+    void changesThatWereForgottenAreRead() {
+        begin(3);
+        change("job-1", false);
+        world.pass(6);
+        refused = true;
+        change("job-1", true);
+        change("job-2", false);
+        world.pass(20);
+        world.oldest = world.revision();
+        refused = false;
+        world.pass(8);
+        assertTrue(followed.mirror().cancelled("job-1"));
+        assertEquals(1, followed.mirror().unfinished());
+        assertTrue(followed.knownUntil() > world.now() - 6);
+    }
+}
--- a/src/test/java/io/kelphoist/state/StateWorld.java
+++ b/src/test/java/io/kelphoist/state/StateWorld.java
@@ -17,13 +17,15 @@
  * that; a transaction may get no answer and be carried out seconds later, after newer ones; all requests may be refused, or
  * those of one controller.
  */
-public final class StateWorld implements Reads, Transactions, StateClient.Loop {
+public final class StateWorld implements Watches, Transactions, StateClient.Loop {
     /** A key's value as of its last change. */
     public record Item(String key, ObjectNode value, long revision) { }
 
     private record Later(double at, long order, Runnable what) { }
 
     private static final double TIMEOUT_S = 1.5;
+    private static final double GIVEN_UP_S = 3;
+    private static final double HOLD_STEP_S = 0.05;
     /** So long a request may take there, and its answer back. */
     private static final double SLOWEST_S = 29 / 60.0;
 
@@ -134,13 +136,18 @@
         seenBy(() -> false).txn(conditions, puts, urgent, handler);
     }
 
+    @Override
+    public void watch(String prefix, long after, int holdMs, Consumer<StateClient.Result> handler) {
+        seenBy(() -> false).watch(prefix, after, holdMs, handler);
+    }
+
     /** The same for a controller that may be refused alone. */
     public View seenBy(BooleanSupplier refused) {
         return new View(refused);
     }
 
     /** The state service as one controller sees it. */
-    public final class View implements Reads, Transactions {
+    public final class View implements Watches, Transactions {
         private final BooleanSupplier refused;
 
         private View(BooleanSupplier refused) {
@@ -193,18 +200,37 @@
         @Override
         public void changes(String prefix, long after, Consumer<StateClient.Result> handler) {
             asked.add("changes");
-            handle(handler, () -> {
-                if (after < oldest) {
-                    answer(handler, new StateClient.Done(410, Cbor.map()));
-                    return;
-                }
-                ObjectNode m = Cbor.map().put("logbook", revision);
-                ArrayNode events = m.putArray("events");
-                for (Item c : StateWorld.this.changes(prefix, after)) {
-                    events.addObject().put("put", c.key).put("entry", c.revision).set("value", c.value);
-                }
-                answer(handler, new StateClient.Done(200, m));
-            });
+            handle(handler, () -> answer(handler, changed(prefix, after)));
+        }
+
+        private StateClient.Done changed(String prefix, long after) {
+            if (after < oldest) {
+                return new StateClient.Done(410, Cbor.map());
+            }
+            ObjectNode m = Cbor.map().put("logbook", revision);
+            ArrayNode events = m.putArray("events");
+            for (Item c : StateWorld.this.changes(prefix, after)) {
+                events.addObject().put("put", c.key).put("entry", c.revision).set("value", c.value);
+            }
+            return new StateClient.Done(200, m);
+        }
+
+        @Override
+        public void watch(String prefix, long after, int holdMs, Consumer<StateClient.Result> handler) {
+            asked.add("watch");
+            handle(handler, () -> hold(prefix, after, now + holdMs / 1000.0, handler));
+        }
+
+        /** During an outage open watches stay open; a client gives one up some seconds after its time. */
+        private void hold(String prefix, long after, double until, Consumer<StateClient.Result> handler) {
+            boolean away = down || refused.getAsBoolean();
+            if (away && now > until + GIVEN_UP_S) {
+                handler.accept(new StateClient.Unsure());
+            } else if (!away && (now >= until || after < oldest || !StateWorld.this.changes(prefix, after).isEmpty())) {
+                answer(handler, changed(prefix, after));
+            } else {
+                StateWorld.this.after(HOLD_STEP_S, () -> hold(prefix, after, until, handler));
+            }
         }
 
         @Override
