A mute machine gets nothing new; answers lost, reports kept for the next leader and new machines in the world of take-overs

Cause: the answer to an order counted as hearing a machine. Only reports count now; a start that was placed on such a machine and still waits for its record is withdrawn, and placed elsewhere.

StandbyTest's world has now: transactions of which only the answer is lost, mute machines, copies of reports that are kept for the next leader and are the first it sees, machines that leaders rent (up within two seconds, the answer perhaps lost), cancellations just before and after the leader changes, users at all doors within milliseconds. It checks also that no mute machine is told to start anything, that every machine is known in the end, and that each door answers for every job.

--- a/src/main/java/io/kelphoist/core/Intake.java
+++ b/src/main/java/io/kelphoist/core/Intake.java
@@ -91,8 +91,9 @@
             check(m, now);
         } else if (m != null && report.session() > m.deadSession) {
             take(m, report, now);
+            // It hears; whether any controller hears it only a report shows, and only that keeps its lease. Counted as heard, it
+            // would get new work with each order that it answers, which dies with the lease.
             m.hearing.hears(now);
-            m.heard(now);
         }
     }
 
--- a/src/main/java/io/kelphoist/core/Leases.java
+++ b/src/main/java/io/kelphoist/core/Leases.java
@@ -31,6 +31,9 @@
         nextRun = now + EVERY_S;
         for (Machine m : cluster.machines.values()) {
             m.quiet = m.hearing.doubted() || now > m.lastReport + Policy.REPORT_ROUND * cluster.policy.reportS() + LATE_S;
+            if (m.quiet) {
+                withdraw(m, now);
+            }
             expire(m, now);
             notice(m, now);
             if (m.holdOver(now)) {
@@ -43,6 +46,15 @@
         }
     }
 
+    /** What was placed on a machine that missed a report, and waits for its record: it would be sent just to die with the lease. */
+    private void withdraw(Machine m, double now) {
+        for (Placement p : new ArrayList<>(m.placements)) {
+            if (p.state() == Placement.State.SENT && !p.startSent) {
+                cluster.stop(p, 0, now);
+            }
+        }
+    }
+
     /**
      * A worker's lease runs from when the last answered report was sent, which is before it was answered, by us or by a
      * controller that could not hear us. When that is over, whatever the machine does, its tasks are gone.
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -286,7 +286,7 @@
         return state == State.UP && takenAt == Double.POSITIVE_INFINITY && !quiet;
     }
 
-    /** A message came that is no copy. */
+    /** A report came that is no copy. */
     void heard(double now) {
         lastReport = now;
         quiet = hearing.doubted();
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -35,35 +35,46 @@
     private static int lateApplied;
     private static int gangsDone;
     private static int savedOnce;
+    private static int startsMute;
+    private static int rented;
+    private static int keptForNext;
+    private static int closeLooks;
+    private static int lostAnswers;
 
     private static void play(StandbyWorld world, int step) {
-        int what = step % 24;
+        int what = step % 30;
         switch (what) {
             case 0 -> world.takeOver(0);
             case 1, 2 -> world.takeOver(1);
             case 3 -> world.takeOver(2);
-            case 4 -> world.freeze(step / 24 % 12);
-            case 5, 6 -> world.cut(step / 24, true);
-            case 7, 8 -> world.cut(step / 24, false);
-            case 9, 10, 11 -> world.finish(step / 24);
+            case 4 -> world.freeze(step / 30 % 12);
+            case 5, 6 -> world.cut(step / 30, true);
+            case 7, 8 -> world.cut(step / 30, false);
+            case 9, 10, 11 -> world.finish(step / 30);
             case 12 -> world.list();
-            case 13 -> world.deaf(step / 24, true);
-            case 14 -> world.deaf(step / 24, false);
-            case 15 -> world.restart(step / 24);
-            case 16 -> world.late(step / 24 % 8);
-            case 17 -> world.outage(step / 24 % 2 == 0);
-            case 18 -> world.refuse(step / 24 % 3 > 0);
-            case 19 -> world.cancel(step / 24);
-            case 20, 21 -> world.take(step / 24, step / 240 == 0 ? 0 : 3 * (step / 240));
-            default -> world.ask(step / 24);
+            case 13 -> world.deaf(step / 30, true);
+            case 14 -> world.deaf(step / 30, false);
+            case 15 -> world.restart(step / 30);
+            case 16 -> world.late(step / 30 % 8);
+            case 17 -> world.outage(step / 30 % 2 == 0);
+            case 18 -> world.refuse(step / 30 % 3 > 0);
+            case 19 -> world.cancel(step / 30);
+            case 20, 21 -> world.take(step / 30, step / 300 == 0 ? 0 : 3 * (step / 300));
+            case 22 -> world.mute(step / 30, true);
+            case 23 -> world.mute(step / 30, false);
+            case 24 -> world.lost(step / 30 % 4);
+            case 25 -> world.keepForNext(step / 30 % 3 > 0);
+            case 26 -> world.cancelOnTheChange(step / 30);
+            case 27 -> world.closeLook(step / 30);
+            default -> world.ask(step / 30);
         }
         world.tell();
-        world.pass(0.3 + step / 24 % 5, step / 120 % 10);
+        world.pass(0.3 + step / 30 % 5, step / 150 % 10);
         world.tell();
     }
 
-    @Property(tries = 2000, seed = "20261203")
-    void nothingRunsTwice(@ForAll long seed, @ForAll @Size(min = 4, max = 40) List<@IntRange(min = 0, max = 1199) Integer> story) {
+    @Property(tries = 2500, seed = "20261203")
+    void nothingRunsTwice(@ForAll long seed, @ForAll @Size(min = 4, max = 40) List<@IntRange(min = 0, max = 1499) Integer> story) {
         StandbyWorld world = new StandbyWorld(seed);
         world.pass(6, 0);
         story.forEach(step -> play(world, step));
@@ -79,6 +90,11 @@
         lateApplied += world.lateApplied();
         gangsDone += world.gangsDone;
         savedOnce += world.savedOnce;
+        startsMute += world.startsMute;
+        rented += world.rented;
+        keptForNext += world.keptForNext;
+        closeLooks += world.closeLooks;
+        lostAnswers += world.lostAnswers();
     }
 
     /** The property would hold as well if nothing were ever started, or every take-over waited out its round. */
@@ -87,6 +103,8 @@
         assertTrue(starts > 5_000 && quick > 2000 && expired > 300, starts + " starts, " + quick + " quick take-overs, " + expired + " leases over");
         assertTrue(restarts > 1000 && returned > 500 && copied > 5000, restarts + " restarts, " + returned + " machines returned, " + copied + " copies");
         assertTrue(cancelled > 1000 && ended > 500 && lateApplied > 100, cancelled + " cancelled, " + ended + " done, " + lateApplied + " written late");
+        assertTrue(startsMute > 100 && rented > 1000 && keptForNext > 1000 && closeLooks > 1000 && lostAnswers > 700, startsMute + " started while mute, "
+                + rented + " rented, " + keptForNext + " reports kept for the next, " + closeLooks + " close looks, " + lostAnswers + " answers lost");
         assertTrue(gangsDone > 200 && savedOnce > 80, gangsDone + " gangs done, " + savedOnce + " tasks saved");
     }
 
--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -50,7 +50,10 @@
  * What earlier leaders sent comes when it comes; copies of reports come up to three leases late; what is sent to a worker
  * may be lost while its own reports arrive; and a machine may be back at once, counting from 1 again. The state service carries
  * transactions out late, after newer ones, is down for all, or refuses the leader alone; users cancel, ask, and remember. Some
- * jobs are gangs that save, and the cloud takes machines, with a notice or without.
+ * jobs are gangs that save, and the cloud takes machines, with a notice or without, and gives new ones within two seconds, also
+ * where its answer is lost. Machines may reach no leader while orders reach them; copies of reports may be kept for the next
+ * leader, and be the first that it sees; only the answer of a transaction may be lost; users ask at all doors within
+ * milliseconds and cancel just as the leader changes.
  * Every start that a worker executes is held against the rules: no task on two machines, no team past its limit, none before
  * what its job needs, none long after its user was told that it is cancelled; and every answer against those before. When all
  * that is over, as much runs as may.
@@ -67,6 +70,10 @@
     private static final double GANG_WAIT_S = 8;
     private static final double GANG_PEER_S = 3;
     private static final double SAVE_S = 1;
+    /** Machines that leaders may rent besides. */
+    private static final int MOST_EXTRA = 3;
+    /** So long a machine may be mute before it gets nothing new: a round of reports, late ones, and the steps of this world. */
+    private static final double MUTE_UNNOTICED_S = 1.25 * REPORT_S + 2.5;
     private static final MachineType TYPE = new MachineType("m", new Resources(8, 2, 64), 50, 1, 8, 3, 25, List.of("a"));
     private static final Team TEAM = new Team("t", new Resources(1e6, 4, 1e6), new Resources(1e6, LIMIT, 1e6));
 
@@ -82,6 +89,12 @@
         boolean cut;
         /** Its reports arrive, but nothing that is sent to it. */
         boolean deaf;
+        /** What is sent to it arrives, but none of its reports. */
+        boolean mute;
+        /** When a report of it reached a leader last, or a copy of one. */
+        double reachedAt = now;
+        /** Rented by a leader, in addition to those that are always there. */
+        boolean extra;
         /** The cloud has taken it, or will; infinite: it will not. */
         boolean gone;
         double takenAt = Double.POSITIVE_INFINITY;
@@ -187,6 +200,7 @@
                         exited.put(key, ExitReason.BUSY);
                     } else {
                         begin(task, c.attempt());
+                        startsMute += mute ? 1 : 0;
                     }
                 } else if (c instanceof Command.Stop stop && Objects.equals(on.get(task), c.attempt())) {
                     if (stop.graceS() >= SAVE_S && gang(task) && ran.contains(c.attempt())) {
@@ -247,6 +261,7 @@
         final long session;
         final List<Command> commands;
         final double givenUpAt;
+        final double sentAt = now;
         final boolean check;
         boolean answered;
         boolean lost;
@@ -263,6 +278,10 @@
 
         void arrive() {
             to.expire();
+            // Orders that are answered say nothing of reports: what starts there dies with the lease, which only those renew.
+            if (to.mute && sentAt > Math.max(to.reachedAt, from.listedAt) + MUTE_UNNOTICED_S && commands.stream().anyMatch(c -> c instanceof Command.Start)) {
+                throw new AssertionError(to.name + " is told at " + sentAt + " to start something, no report of it came since " + to.reachedAt);
+            }
             boolean done = session == to.session && to.obey(from.term, commands);
             end(done ? Cluster.OrderOutcome.EXECUTED : Cluster.OrderOutcome.REFUSED, to.report());
         }
@@ -291,6 +310,8 @@
         final TakeOver takeOver;
         final Cluster cluster;
         final double beganAt = now;
+        /** When it may have come to know a machine of which no report came. */
+        double listedAt = now;
         final Telling telling = new Telling();
         double silentUntil;
         double ledAfter = Double.NaN;
@@ -400,7 +421,24 @@
         }
 
         @Override
-        public void rent(Rental rental) { }
+        public void rent(Rental rental) {
+            if (!leads()) {
+                return;
+            }
+            // The same name gets the same answer, whoever asks.
+            List<String> names = rentals.computeIfAbsent(rental.name(), name -> {
+                int free = WORKERS + MOST_EXTRA - workers.size() - coming;
+                List<String> rented = new ArrayList<>();
+                for (int i = 0; i < Math.min(free, rental.count()); i++) {
+                    rented.add("vm-" + nextWorker++);
+                    coming++;
+                }
+                rented.forEach(vm -> state.after(random.nextInt(20) / 10.0, () -> comeUp(vm)));
+                return rented;
+            });
+            boolean lost = !calm && random.nextInt(3) == 0;
+            stored.add(() -> cluster.onRented(rental, lost ? null : names, !lost && names.isEmpty(), now));
+        }
 
         @Override
         public void giveBack(List<String> machines) {
@@ -441,6 +479,12 @@
     private final Set<String> results = new HashSet<>();
     private final Picture picture = new Picture();
     private double now = 100;
+    private final Map<String, List<String>> rentals = new HashMap<>();
+    /** Machines that were rented and are not up yet. */
+    private int coming;
+    /** Copies of reports are kept for the next leader. */
+    private boolean keeping;
+    private final List<MachineReport> kept = new ArrayList<>();
     private int nextWorker = WORKERS + 10;
     private long terms;
     private long termRevision;
@@ -457,6 +501,10 @@
     int putOff;
     int gangsDone;
     int savedOnce;
+    int startsMute;
+    int rented;
+    int keptForNext;
+    int closeLooks;
 
     StandbyWorld(long seed) {
         this(seed, 2);
@@ -512,6 +560,43 @@
             next.takeOver.told(now);
         }
         leaders.add(next);
+        // The first reports that a new leader sees.
+        keptForNext += kept.size();
+        kept.forEach(report -> next.cluster.onReport(report, "copy", now));
+        kept.forEach(report -> reached(report.machine()));
+        kept.clear();
+    }
+
+    private void reached(String machine) {
+        workers.stream().filter(w -> w.name.equals(machine)).forEach(w -> w.reachedAt = now);
+    }
+
+    private void comeUp(String name) {
+        coming--;
+        Worker w = new Worker(Integer.parseInt(name.substring(3)));
+        w.extra = true;
+        w.leaseFrom = now;
+        w.reportAt = now;
+        workers.add(w);
+        rented++;
+    }
+
+    /** Right after a cancellation the leader changes, and another user cancels; some ask at once. */
+    void cancelOnTheChange(int number) {
+        cancel(number);
+        pass(number % 7 / 10.0, 0);
+        takeOver(number % 2);
+        cancel(number + 4);
+        closeLook(number);
+    }
+
+    /** A user asks at all doors within milliseconds, and again. */
+    void closeLook(int number) {
+        for (int i = 0; i < 6; i++) {
+            int door = i % 3;
+            state.after(0.001 * i, () -> ask(number / 3 * 3 + door));
+        }
+        closeLooks++;
     }
 
     private ToldMachine wrong(ToldMachine m) {
@@ -586,6 +671,23 @@
         state.lateShare = ten;
     }
 
+    /** @param ten of ten transactions, of how many only the answer is lost */
+    void lost(int ten) {
+        state.lostShare = ten;
+    }
+
+    void mute(int worker, boolean mute) {
+        workers.get(worker % WORKERS).mute = mute;
+    }
+
+    void keepForNext(boolean on) {
+        keeping = on;
+    }
+
+    int lostAnswers() {
+        return state.lost;
+    }
+
     void outage(boolean down) {
         state.down = down;
     }
@@ -668,9 +770,13 @@
         for (int i = 0; i < workers.size(); i++) {
             if (workers.get(i).name.equals(name)) {
                 workers.get(i).gone = true;
+                returned++;
+                if (workers.get(i).extra) {
+                    workers.remove(i);
+                    return;
+                }
                 workers.set(i, new Worker(nextWorker++));
                 workers.get(i).leaseFrom = now;
-                returned++;
             }
         }
     }
@@ -680,13 +786,19 @@
         workers.forEach(w -> {
             w.cut = false;
             w.deaf = false;
+            w.mute = false;
         });
         freeze(0);
         late(0);
+        lost(0);
+        keepForNext(false);
         outage(false);
         refuse(false);
         calm = true;
-        pass(90, 0);
+        pass(45, 0);
+        list();
+        pass(45, 0);
+        known();
         int left = 0;
         int running = workers.stream().mapToInt(w -> w.on.size()).sum();
         for (JobRecord job : jobs.values()) {
@@ -713,6 +825,32 @@
         }
     }
 
+    /** Every machine is in use or will be returned, and every job is known to whoever asks twice, at any door. */
+    private void known() {
+        Leader leader = leaders.get(leaders.size() - 1);
+        for (Worker w : workers) {
+            if (leader.cluster.machines().stream().noneMatch(m -> m.name.equals(w.name))) {
+                throw new AssertionError(w.name + " is paid for and not known when all is over");
+            }
+        }
+        for (int job = 0; job < jobs.size(); job++) {
+            for (Admission door : doors) {
+                Answer[] last = new Answer[1];
+                for (int i = 0; i < 2; i++) {
+                    Consumer<Answer> user = answer("job-" + job);
+                    door.query("job-" + job, answer -> {
+                        last[0] = answer;
+                        user.accept(answer);
+                    });
+                    state.pass(3);
+                }
+                if (last[0] == null || last[0] instanceof Answer.Later) {
+                    throw new AssertionError("job-" + job + " is answered " + last[0] + " when all is over");
+                }
+            }
+        }
+    }
+
     /** How long the last leader took to its first decision, in seconds. */
     double lastLedAfter() {
         return leaders.get(leaders.size() - 1).ledAfter;
@@ -753,6 +891,7 @@
 
     void list() {
         List<CloudMachine> all = workers.stream().map(w -> new CloudMachine(w.name, w.address(), "m", "a", false, CloudMachine.CloudState.RUNNING, now)).toList();
+        leaders.get(leaders.size() - 1).listedAt = now;
         leaders.get(leaders.size() - 1).cluster.onCloudList(List.of(new CloudPage("", true, all)), now);
     }
 
@@ -788,6 +927,7 @@
                     copied++;
                     Leader to = leaders.get(leaders.size() - 1);
                     if (now >= to.silentUntil && !to.cluster.deposed()) {
+                        reached(c.report.machine());
                         to.cluster.onReport(c.report, "copy", now);
                     }
                 }
@@ -815,6 +955,13 @@
         if (random.nextInt(8) == 0) {
             copies.add(new Copy(report, now + random.nextDouble() * 3 * LEASE_S));
         }
+        if (keeping && random.nextInt(3) == 0) {
+            kept.add(report);
+        }
+        if (w.mute) {
+            return;
+        }
+        w.reachedAt = now;
         List<Command> commands = to.cluster.onReport(report, "", now);
         if (commands != null && !w.deaf && (calm || random.nextInt(3) > 0) && w.obey(to.term, commands)) {
             w.leaseFrom = Math.max(w.leaseFrom, sentAt);
