A stream of one-task jobs at the smallest limits; lists at their bound and one beyond; keys taken unseen; why leases ended

The world also checks that no leader sends a start of what it knows to be cancelled.

Bounds: one end more than is kept, more unfinished jobs than are kept, one write more than may wait.

ElectionTest: requests that are carried out and whose answer is lost, in the property and alone; leaders that change all the time.

--- a/src/main/java/io/kelphoist/admission/JobLookup.java
+++ b/src/main/java/io/kelphoist/admission/JobLookup.java
@@ -42,7 +42,7 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(JobLookup.class);
-    private static final int MOST_KEPT = 4000;
+    static final int MOST_KEPT = 4000;
     /** So many jobs are looked at for one answer; the leader follows longer chains. */
     private static final int MOST_ANCESTORS = 64;
 
--- a/src/main/java/io/kelphoist/admission/JobMirror.java
+++ b/src/main/java/io/kelphoist/admission/JobMirror.java
@@ -36,7 +36,7 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(JobMirror.class);
-    private static final int MOST_KEPT = 4000;
+    static final int MOST_KEPT = 4000;
     private static final int MOST_CHANGES = 20_000;
     /** Between two rounds, in seconds. */
     private static final double PACE_S = 0.02;
--- a/src/main/java/io/kelphoist/core/Intake.java
+++ b/src/main/java/io/kelphoist/core/Intake.java
@@ -211,6 +211,7 @@
     }
 
     private void endSession(Machine m, long next, double now) {
+        int ended = m.placements.size();
         for (Placement p : new ArrayList<>(m.placements)) {
             // What a record names is presumed until the machine has seen our term: nobody knows its session.
             if (p.session < next && !p.presumed()) {
@@ -218,7 +219,7 @@
             }
         }
         if (m.session > 0) {
-            LOG.info("machine {} is in session {}, what ran before is over", m.name, next);
+            LOG.info("machine {} is in session {}, {} tasks of before are over: {}", m.name, next, ended - m.placements.size(), m.heardAndAnswered(now));
         }
     }
 
--- a/src/main/java/io/kelphoist/core/Leases.java
+++ b/src/main/java/io/kelphoist/core/Leases.java
@@ -68,8 +68,7 @@
         if (m.state() == Machine.State.RETURNING && m.placements.isEmpty()) {
             return;
         }
-        LOG.info("machine {} is silent since {} s, its lease is over, {} tasks with it", m.name,
-                Math.round(now - m.lastReport), m.placements.size());
+        LOG.info("machine {}: its lease is over, {} tasks with it: {}", m.name, m.placements.size(), m.heardAndAnswered(now));
         cluster.lost(m, now);
     }
 
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -292,6 +292,11 @@
         quiet = hearing.doubted();
     }
 
+    /** Why a lease may have ended: it was silent, its reports were not answered, or it did not hear the answers. */
+    String heardAndAnswered(double now) {
+        return "last report " + Math.round(now - lastReport) + " s ago, last answer " + Math.round(now - lastAnswer) + " s ago, " + hearing.state();
+    }
+
     /** Something may run here that a user has cancelled. */
     boolean holdsCancelled() {
         for (Placement p : placements) {
--- a/src/main/java/io/kelphoist/state/Committer.java
+++ b/src/main/java/io/kelphoist/state/Committer.java
@@ -53,7 +53,7 @@
     private static final int MOST_BYTES = 48 * 1024;
     /** Conditions that a transaction may have for each change that it may have. */
     private static final int CONDITIONS_PER_OP = 4;
-    private static final int MOST_WAITING = 2000;
+    static final int MOST_WAITING = 2000;
     /** A transaction usually takes some 10 ms; without an answer after this, others no longer wait for it. */
     private static final double USUALLY_S = 0.25;
     /** Each takes a connection, which leases and the leader's keys need as well. */
--- a/src/test/java/io/kelphoist/admission/FreshReadsTest.java
+++ b/src/test/java/io/kelphoist/admission/FreshReadsTest.java
@@ -97,6 +97,55 @@
         world.pass(30);
     }
 
+    private String asked(int number) {
+        String[] said = new String[1];
+        lookup.read("job-" + number, found -> said[0] = found instanceof JobLookup.Known k ? k.record().status().toString() : found.toString());
+        world.pass(5);
+        return said[0];
+    }
+
+    /** How jobs ended is kept of so many, and one more: what was dropped is read anew, and where it can't be nothing is said. */
+    @Test
+    void oneMoreEndThanIsKept() {
+        begin(0);
+        for (int i = 0; i <= JobLookup.MOST_KEPT; i++) {
+            world.put(Keys.job("job-" + i), i % 2 == 0 ? Records.done(1, null) : Records.cancelled(new JobRecord("job-" + i, spec("job-" + i), JobStatus.ACTIVE, 1, 0), 4000));
+            assertEquals(i % 2 == 0 ? "DONE" : "CANCELLED", asked(i));
+        }
+        world.down = true;
+        assertEquals("Unavailable[]", asked(0));
+        assertEquals("CANCELLED", asked(1));
+        assertEquals("DONE", asked(JobLookup.MOST_KEPT));
+        world.down = false;
+        assertEquals("DONE", asked(0));
+    }
+
+    /** Unfinished jobs are kept of so many, and more: what was dropped has changed since, and is answered as it is. */
+    @Test
+    void moreUnfinishedJobsThanAreKept() {
+        begin(0);
+        int jobs = JobMirror.MOST_KEPT + 50;
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < jobs; i++) {
+                if (round == 0) {
+                    world.put(Keys.job("job-" + i), Records.job(spec("job-" + i), 1));
+                }
+                lookup.read("job-" + i, found -> assertTrue(found instanceof JobLookup.Known k && k.record().status() == JobStatus.ACTIVE, found::toString));
+            }
+            world.pass(5);
+        }
+        for (int i = 0; i < jobs; i += 7) {
+            world.put(Keys.job("job-" + i), Records.done(1, null));
+        }
+        // Changes are forgotten at the state service as well: it begins anew.
+        world.oldest = world.revision();
+        for (int i = 0; i < jobs; i++) {
+            JobStatus is = i % 7 == 0 ? JobStatus.DONE : JobStatus.ACTIVE;
+            lookup.read("job-" + i, found -> assertTrue(found instanceof JobLookup.Known k && k.record().status() == is, found::toString));
+        }
+        world.pass(10);
+    }
+
     /** A hundred polls at a time cost a few requests, not a hundred. */
     @Test
     void pollsShareTheirQuestions() {
--- a/src/test/java/io/kelphoist/core/ElectionWorld.java
+++ b/src/test/java/io/kelphoist/core/ElectionWorld.java
@@ -146,13 +146,13 @@
             };
             if (!outage && !refused && random.nextInt(10) < lateShare) {
                 later(random.nextInt(120) / 10.0, () -> lateTaken += outage || txn.get() == 0 ? 0 : 1);
-                after(1.5, () -> ask(() -> leader, read -> {
-                    if (read != null && read.node.equals(name) && read.term == lastTerm + 1 && read.lease == lease) {
-                        taken(lease, read.term, read.revision, sentAt);
-                    } else {
-                        failed(lease);
-                    }
-                }));
+                after(1.5, () -> readBack(lease, lastTerm + 1, sentAt));
+                return;
+            }
+            if (!outage && !refused && random.nextInt(10) < lostShare) {
+                // Carried out at once, and its answer is lost.
+                later(random.nextInt(20) / 100.0, () -> lostTaken += outage || refused || txn.get() == 0 ? 0 : 1);
+                after(1.5, () -> readBack(lease, lastTerm + 1, sentAt));
                 return;
             }
             ask(txn, as -> {
@@ -164,6 +164,17 @@
             });
         }
 
+        private void readBack(long lease, long itsTerm, double sentAt) {
+            ask(() -> new Key[] {leader}, read -> {
+                Key its = read == null ? null : read[0];
+                if (its != null && its.node.equals(name) && its.term == itsTerm && its.lease == lease) {
+                    taken(lease, its.term, its.revision, sentAt);
+                } else {
+                    failed(lease);
+                }
+            });
+        }
+
         private void taken(long lease, long itsTerm, long as, double sentAt) {
             newest = Math.max(newest, as);
             election.onTaken(itsTerm, lease, sentAt, clock());
@@ -178,6 +189,7 @@
         @Override
         public void renew(long lease) {
             double sentAt = clock();
+            boolean lost = random.nextInt(10) < lostShare;
             ask(() -> {
                 if (leases.containsKey(lease)) {
                     leases.put(lease, now + LEASE_S);
@@ -185,7 +197,7 @@
                 }
                 return false;
             }, alive -> {
-                if (alive != null) {
+                if (alive != null && !lost) {
                     election.onRenewed(lease, alive, sentAt, clock());
                     if (!alive) {
                         readKeys();
@@ -255,9 +267,14 @@
     private Key term;
     private boolean outage;
     private int lateShare;
+    private int lostShare;
+    /** Since when nobody could act although nothing was wrong but for lost answers; the longest of these. */
+    private double leaderlessSince = Double.NaN;
+    double longestWithout;
     int terms;
     int handedOver;
     int lateTaken;
+    int lostTaken;
     int actedByGrants;
 
     ElectionWorld(long seed) {
@@ -355,6 +372,11 @@
         lateShare = ofTen;
     }
 
+    /** @param ofTen of so many requests to the state service the answer is lost, and they are carried out */
+    void lost(int ofTen) {
+        lostShare = ofTen;
+    }
+
     void resign(int node) {
         Node n = nodes.get(node);
         if (n.runs()) {
@@ -362,6 +384,14 @@
         }
     }
 
+    void crashLeader(double backS) {
+        nodes.stream().filter(this::acts).findFirst().ifPresent(n -> crash(nodes.indexOf(n), backS));
+    }
+
+    void resignLeader() {
+        nodes.stream().filter(this::acts).findFirst().ifPresent(n -> resign(nodes.indexOf(n)));
+    }
+
     /** All troubles are over: soon there is one that may act, and it is the same for a while. */
     void settle() {
         for (int a = 0; a < 3; a++) {
@@ -372,6 +402,7 @@
             }
         }
         late(0);
+        lost(0);
         outage(false);
         pass(40);
         if (nodes.stream().noneMatch(this::acts)) {
@@ -409,6 +440,13 @@
             if (acting.size() > 1) {
                 throw new AssertionError(acting.stream().map(n -> n.name + " for term " + n.election.term()).toList() + " may act at once, at " + now);
             }
+            if (!acting.isEmpty()) {
+                leaderlessSince = Double.NaN;
+            } else if (Double.isNaN(leaderlessSince)) {
+                leaderlessSince = now;
+            } else {
+                longestWithout = Math.max(longestWithout, now - leaderlessSince);
+            }
             actedByGrants += acting.size() == 1 && (leader == null || !leader.node.equals(acting.get(0).name) || outage) ? 1 : 0;
         }
     }
--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -61,10 +61,22 @@
 final class StandbyWorld {
     private static final double REPORT_S = 2;
     private static final double LEASE_S = 10;
-    private static final int WORKERS = 5;
+    /**
+     * How large the world is.
+     *
+     * @param limit tasks that the team may run at a time
+     * @param jobs whether the usual jobs are there from the start
+     * @param writeRps changes a second that the state service takes
+     */
+    record Size(int workers, int limit, boolean jobs, double writeRps, int txnOps) {
+        static final Size USUAL = new Size(5, 7, true, 1e6, 48);
+    }
+
+    /** What each controller allows itself of the changes that the state service takes. */
+    private static final double WRITE_SHARE = 0.55;
     /** Jobs from this number on are gangs. */
     private static final int GANGS_FROM = 8;
-    private static final int LIMIT = 7;
+    private static final int JOBS = 12;
     private static final double CANCEL_S = 30;
     private static final int VALUE_BYTES = 600;
     private static final double GANG_WAIT_S = 8;
@@ -75,7 +87,6 @@
     /** So long a machine may be mute before it gets nothing new: a round of reports, late ones, and the steps of this world. */
     private static final double MUTE_UNNOTICED_S = 1.25 * REPORT_S + 2.5;
     private static final MachineType TYPE = new MachineType("m", new Resources(8, 2, 64), 50, 1, 8, 3, 25, List.of("a"));
-    private static final Team TEAM = new Team("t", new Resources(1e6, 4, 1e6), new Resources(1e6, LIMIT, 1e6));
 
     private final class Worker {
         final String name;
@@ -143,6 +154,11 @@
             for (Map.Entry<String, Long> e : List.copyOf(on.entrySet())) {
                 String task = e.getKey();
                 long attempt = e.getValue();
+                if (now >= since.get(task) + runs.getOrDefault(task, Double.POSITIVE_INFINITY)) {
+                    exit(task, ExitReason.DONE, false);
+                    results.add(task);
+                    continue;
+                }
                 if (now >= saving.getOrDefault(task, Double.POSITIVE_INFINITY)) {
                     exit(task, ExitReason.STOPPED, true);
                 } else if (gang(task) && together(task, attempt)) {
@@ -222,12 +238,13 @@
                 }
             }
             JobRecord job = jobs.get(task.substring(0, task.indexOf('/')));
-            for (String need : needs.get(job.id())) {
+            for (String need : needs.getOrDefault(job.id(), List.of())) {
                 if (jobs.get(need).status() != JobStatus.DONE) {
                     throw new AssertionError(task + " starts at " + now + ", and " + need + " is not done");
                 }
             }
             starts++;
+            startedAt.putIfAbsent(job.id(), now);
             if (results.contains(task)) {
                 // Its result is kept: it ends as soon as it is started again.
                 exited.put(task + "@" + attempt, ExitReason.DONE);
@@ -236,14 +253,15 @@
             on.put(task, attempt);
             since.put(task, now);
             int gpus = workers.stream().mapToInt(w -> w.on.size()).sum();
-            if (gpus > LIMIT) {
+            if (gpus > size.limit) {
                 throw new AssertionError(gpus + " tasks at " + now);
             }
         }
     }
 
     private static boolean gang(String task) {
-        return Integer.parseInt(task.substring(4, task.indexOf('/'))) >= GANGS_FROM;
+        int number = Integer.parseInt(task.substring(4, task.indexOf('/')));
+        return number >= GANGS_FROM && number < JOBS;
     }
 
     /** All tasks of an attempt at a gang are somewhere, and none leaves. */
@@ -319,9 +337,9 @@
         Leader(long term) {
             this.term = term;
             takeOver = new TakeOver(term, 1.25 * REPORT_S, 1, questions, this::ask, now);
-            Policy policy = new Policy(List.of("a"), List.of(TEAM), REPORT_S, LEASE_S, GANG_PEER_S, 5, 1, 20, 15, 0, 1e6, 600, 0.01, 0.01, Map.of());
+            Policy policy = new Policy(List.of("a"), List.of(team), REPORT_S, LEASE_S, GANG_PEER_S, 5, 1, 20, 15, 0, 1e6, 600, 0.01, 0.01, Map.of());
             StateWorld.View view = state.seenBy(() -> refused && leads());
-            store = new Store(view, new Committer(view, state, 1e6, 48), state, () -> 0, VALUE_BYTES, termRevision, () -> { }, () -> { });
+            store = new Store(view, committer(view), state, () -> 0, VALUE_BYTES, termRevision, () -> { }, () -> { });
             cluster = new Cluster(policy, this, OtherAnswers.NONE, takeOver, term, List.of(TYPE), now);
         }
 
@@ -347,6 +365,11 @@
         }
 
         private void send(Machine machine, long session, List<Command> commands, boolean check) {
+            for (Command c : commands) {
+                if (c instanceof Command.Start && words.subList(0, heard).contains(c.job())) {
+                    throw new AssertionError(c + " is sent at " + now + " by a leader that knows that its user was told that it is cancelled");
+                }
+            }
             Worker to = workers.stream().filter(w -> w.address().equals(machine.address())).findFirst().orElse(null);
             Order order = new Order(this, to, machine.name, session, List.copyOf(commands), check);
             if (to == null) {
@@ -427,7 +450,7 @@
             }
             // The same name gets the same answer, whoever asks.
             List<String> names = rentals.computeIfAbsent(rental.name(), name -> {
-                int free = WORKERS + MOST_EXTRA - workers.size() - coming;
+                int free = size.workers + MOST_EXTRA - workers.size() - coming;
                 List<String> rented = new ArrayList<>();
                 for (int i = 0; i < Math.min(free, rental.count()); i++) {
                     rented.add("vm-" + nextWorker++);
@@ -454,6 +477,10 @@
 
     private final Random random;
     private final int questions;
+    private final Size size;
+    private final Team team;
+    /** Of tasks that end by themselves, when: how long they run. */
+    private final Map<String, Double> runs = new HashMap<>();
     private final List<Worker> workers = new ArrayList<>();
     private final List<Leader> leaders = new ArrayList<>();
     private final List<Order> network = new ArrayList<>();
@@ -473,6 +500,9 @@
     private final List<String> words = new ArrayList<>();
     private final Map<String, Answer.Phase> said = new HashMap<>();
     private final Map<String, Double> toldAt = new HashMap<>();
+    private final Map<String, Double> startedAt = new HashMap<>();
+    private final Map<String, Double> acceptedAt = new HashMap<>();
+    private final Map<String, Priority> priorities = new HashMap<>();
 
     /** The state service refuses the leader alone. */
     private boolean refused;
@@ -485,7 +515,7 @@
     /** Copies of reports are kept for the next leader. */
     private boolean keeping;
     private final List<MachineReport> kept = new ArrayList<>();
-    private int nextWorker = WORKERS + 10;
+    private int nextWorker;
     private long terms;
     private long termRevision;
     /** Nothing is lost any more. */
@@ -512,21 +542,29 @@
 
     /** @param questions that a leader may have open at a time */
     StandbyWorld(long seed, int questions) {
+        this(seed, questions, Size.USUAL);
+    }
+
+    StandbyWorld(long seed, int questions, Size size) {
         this.questions = questions;
+        this.size = size;
+        team = new Team("t", new Resources(1e6, size.limit / 2.0, 1e6), new Resources(1e6, size.limit, 1e6));
+        nextWorker = size.workers + 10;
         random = new Random(seed);
         state = new StateWorld(random.nextInt(), now);
         state.changed = this::stored;
+        state.limit(size.writeRps);
         for (int i = 0; i < 3; i++) {
             int number = i;
             StateWorld.View view = state.seenBy(() -> refused && number == 0);
-            doors.add(new Admission(view, new Committer(view, state, 1e6, 48)::submit, state, () -> 0, new Types(), List.of(TEAM), List.of("a"), 4, CANCEL_S,
+            doors.add(new Admission(view, committer(view)::submit, state, () -> 0, new Types(), List.of(team), List.of("a"), 4, CANCEL_S,
                     this::told));
         }
-        for (int i = 0; i < WORKERS; i++) {
+        for (int i = 0; i < size.workers; i++) {
             workers.add(new Worker(i));
         }
         workers.forEach(w -> w.leaseFrom = now);
-        for (int i = 0; i < 12; i++) {
+        for (int i = 0; i < (size.jobs ? JOBS : 0); i++) {
             JobKind kind = i >= GANGS_FROM ? JobKind.GANG : i % 4 == 3 ? JobKind.SERVICE : JobKind.ARRAY;
             List<String> needed = i % 4 == 2 ? List.of("job-" + (i - 2)) : i == 9 ? List.of("job-6", "job-8") : List.of();
             JobSpec spec = new JobSpec("job-" + i, "c", "t", kind, i % 2 == 0 && i < GANGS_FROM ? Priority.NORMAL : Priority.HIGH, 2, new Resources(1, 1, 1), null, null,
@@ -600,7 +638,7 @@
     }
 
     private ToldMachine wrong(ToldMachine m) {
-        return new ToldMachine(m.name(), workers.get(random.nextInt(WORKERS)).address(), m.type(), m.zone(), m.spot(), random.nextInt(4),
+        return new ToldMachine(m.name(), workers.get(random.nextInt(size.workers)).address(), m.type(), m.zone(), m.spot(), random.nextInt(4),
                 random.nextInt(5) > 0, false, random.nextInt(5) == 0, random.nextBoolean(), m.rentedAt() - random.nextInt(100), Double.POSITIVE_INFINITY);
     }
 
@@ -677,7 +715,7 @@
     }
 
     void mute(int worker, boolean mute) {
-        workers.get(worker % WORKERS).mute = mute;
+        workers.get(worker % size.workers).mute = mute;
     }
 
     void keepForNext(boolean on) {
@@ -701,6 +739,67 @@
         return state.late;
     }
 
+    private Committer committer(StateWorld.View view) {
+        return new Committer(view, state, size.writeRps * WRITE_SHARE, size.txnOps);
+    }
+
+    /** A user submits a job of one task, again and again until it is taken, and calls it off after a while or not. */
+    void submit(int number, Priority priority, double runS, double cancelAfterS) {
+        String id = "job-" + (JOBS + number);
+        runs.put(id + "/0", runS);
+        priorities.put(id, priority);
+        JobSpec spec = new JobSpec(id, "c", "t", JobKind.ARRAY, priority, 1, new Resources(1, 1, 1), null, null, false, false, false, "img", 1, runS, 0, 0, null,
+                List.of());
+        retried(number, (door, user) -> door.submit(spec, user), id, () -> {
+            acceptedAt.put(id, now);
+            if (cancelAfterS < Double.POSITIVE_INFINITY) {
+                state.after(cancelAfterS, () -> retried(number + 1, (door, user) -> door.cancel(id, user), id, () -> { }));
+            }
+        });
+    }
+
+    private interface Request {
+        void to(Admission door, Consumer<Answer> user);
+    }
+
+    private void retried(int number, Request request, String id, Runnable then) {
+        Consumer<Answer> remembers = answer(id);
+        // The first door shares its changes with the leader.
+        request.to(doors.get(1 + number % 2), answer -> {
+            remembers.accept(answer instanceof Answer.Accepted a ? new Answer.Known(a.job()) : answer);
+            if (answer instanceof Answer.Later) {
+                state.after(1, () -> retried(number + 1, request, id, then));
+            } else {
+                then.run();
+            }
+        });
+    }
+
+    /** Of the jobs that were submitted: all are over, none was forgotten; returns the longest wait from acceptance to its start of this priority. */
+    double longestWait(Priority priority) {
+        double longest = 0;
+        for (JobRecord job : jobs.values()) {
+            if (job.status() == JobStatus.ACTIVE) {
+                throw new AssertionError(job.id() + " is not over, accepted at " + acceptedAt.get(job.id()) + ", started at " + startedAt.get(job.id()) + ", now " + now);
+            }
+        }
+        for (Map.Entry<String, Double> e : acceptedAt.entrySet()) {
+            if (priorities.get(e.getKey()) == priority && !toldAt.containsKey(e.getKey())) {
+                longest = Math.max(longest, startedAt.get(e.getKey()) - e.getValue());
+            }
+        }
+        return longest;
+    }
+
+    /** Transactions that the state service refused as too many. */
+    int tooMany() {
+        return state.tooMany;
+    }
+
+    int submitted() {
+        return acceptedAt.size();
+    }
+
     /** A user cancels. */
     void cancel(int number) {
         int job = number / 3 % jobs.size();
@@ -754,15 +853,15 @@
     }
 
     void cut(int worker, boolean cut) {
-        workers.get(worker % WORKERS).cut = cut;
+        workers.get(worker % size.workers).cut = cut;
     }
 
     void deaf(int worker, boolean deaf) {
-        workers.get(worker % WORKERS).deaf = deaf;
+        workers.get(worker % size.workers).deaf = deaf;
     }
 
     void restart(int worker) {
-        workers.get(worker % WORKERS).restart();
+        workers.get(worker % size.workers).restart();
     }
 
     /** The cloud takes a machine for good, with all that is on it, and gives another one in its place. */
@@ -813,13 +912,13 @@
                 }
                 // A result that was lost on its way is found by another start, and for that there must be room: one place may be kept
                 // for a gang of two that waits for another.
-                if (over && running < LIMIT - 1) {
+                if (over && running < size.limit - 1) {
                     throw new AssertionError(job.id() + " is not called done when all is over");
                 }
             }
         }
         // What is left may be a gang of two, and one place.
-        if (running < Math.min(left, LIMIT - 1)) {
+        if (running < Math.min(left, size.limit - 1)) {
             throw new AssertionError("only " + running + " of " + left + " tasks run when all is over, " + workers.stream().map(w -> w.name + " " + w.session + "." + w.seq + w.on).toList() + leaders.get(leaders.size() - 1).cluster.deposed()
                     + leaders.get(leaders.size() - 1).cluster.machines().stream().map(Machine::toString).toList());
         }
@@ -833,21 +932,26 @@
                 throw new AssertionError(w.name + " is paid for and not known when all is over");
             }
         }
-        for (int job = 0; job < jobs.size(); job++) {
-            for (Admission door : doors) {
-                Answer[] last = new Answer[1];
-                for (int i = 0; i < 2; i++) {
-                    Consumer<Answer> user = answer("job-" + job);
-                    door.query("job-" + job, answer -> {
-                        last[0] = answer;
+        Map<String, Answer> last = new HashMap<>();
+        for (int i = 0; i < 2; i++) {
+            for (String job : jobs.keySet()) {
+                for (Admission door : doors) {
+                    Consumer<Answer> user = answer(job);
+                    door.query(job, answer -> {
+                        last.put(job + " at door " + doors.indexOf(door), answer);
                         user.accept(answer);
                     });
-                    state.pass(3);
-                }
-                if (last[0] == null || last[0] instanceof Answer.Later) {
-                    throw new AssertionError("job-" + job + " is answered " + last[0] + " when all is over");
                 }
             }
+            state.pass(5);
+        }
+        last.forEach((what, answer) -> {
+            if (answer instanceof Answer.Later) {
+                throw new AssertionError(what + " is answered " + answer + " when all is over");
+            }
+        });
+        if (last.size() != jobs.size() * doors.size()) {
+            throw new AssertionError(last.size() + " answers for " + jobs.size() + " jobs when all is over");
         }
     }
 
@@ -858,7 +962,7 @@
 
     /** A task ends by itself. */
     void finish(int worker) {
-        Worker w = workers.get(worker % WORKERS);
+        Worker w = workers.get(worker % size.workers);
         w.on.keySet().stream().filter(task -> !gang(task) || together(task, w.on.get(task))).findFirst().ifPresent(task -> {
             if (gang(task)) {
                 // A gang completes together.
@@ -876,7 +980,7 @@
 
     /** The cloud will take a machine, and says so or not. */
     void take(int worker, double inS) {
-        workers.get(worker % WORKERS).takenAt = now + inS;
+        workers.get(worker % size.workers).takenAt = now + inS;
     }
 
     /** What the leader tells a follower, now and then lost. */
--- a/src/test/java/io/kelphoist/state/CommitterTest.java
+++ b/src/test/java/io/kelphoist/state/CommitterTest.java
@@ -73,6 +73,22 @@
         assertEquals(List.of("b STORED", "a UNSURE"), outcomes);
     }
 
+    /** What waits is bounded: one more is refused at once, which is sure, and the others go on. */
+    @Test
+    void oneTooManyIsRefusedAtOnce() {
+        write("first");
+        for (int i = 0; i < Committer.MOST_WAITING; i++) {
+            write("k" + i);
+        }
+        assertEquals(List.of(), outcomes);
+        write("one too many");
+        assertEquals(List.of("one too many REFUSED"), outcomes);
+        answer(0, stored(5));
+        assertEquals(List.of("one too many REFUSED", "first STORED"), outcomes);
+        write("again");
+        assertEquals(2, outcomes.size());
+    }
+
     /** After a refusal it is left alone for a moment, whatever else is open. */
     @Test
     void pausesAfterARefusal() {
--- a/src/test/java/io/kelphoist/state/StateWorld.java
+++ b/src/test/java/io/kelphoist/state/StateWorld.java
@@ -46,6 +46,10 @@
     public int lostShare;
     /** Transactions whose answer alone was lost, with their conditions met. */
     public int lost;
+    /** Changes that it takes a second, with bursts of one second's worth; transactions above that are refused. */
+    private RateGate changesASecond = new RateGate(1e9, 1);
+    /** Transactions that were refused as too many. */
+    public int tooMany;
     /** Changes up to this revision are forgotten. */
     public long oldest;
     private double now;
@@ -82,6 +86,10 @@
         return revision;
     }
 
+    public void limit(double writeRps) {
+        changesASecond = new RateGate(writeRps, 1);
+    }
+
     /** Null: there is none. */
     public Item get(String key) {
         return stored.get(key);
@@ -250,6 +258,11 @@
                 return;
             }
             handle(handler, () -> {
+                if (!changesASecond.take(puts.size(), now)) {
+                    tooMany++;
+                    answer(handler, new StateClient.Refused(true));
+                    return;
+                }
                 long as = apply(conditions, puts);
                 ObjectNode m = Cbor.map().put("logbook", as > 0 ? as : revision);
                 if (as == 0) {
