--- a/src/test/java/io/kelphoist/care/CareWorld.java
+++ b/src/test/java/io/kelphoist/care/CareWorld.java
@@ -221,6 +221,11 @@
         }
     }
 
+    /** Some user was told that the job is cancelled. */
+    boolean told() {
+        return toldAt < Double.POSITIVE_INFINITY;
+    }
+
     /** A user asks: who has seen the end of a job says so even while the state service is down. */
     void poll(int node) {
         Node n = nodes.get(node);
--- a/src/test/java/io/kelphoist/care/GapTest.java
+++ b/src/test/java/io/kelphoist/care/GapTest.java
@@ -45,6 +45,30 @@
         assertFalse(world.running());
     }
 
+    /** At the very moment at which the leader is refused, a little before and after; a second later the state service is down for all. */
+    @Test
+    void cancelledAtTheVeryMoment() {
+        for (double after : new double[] {-0.5, -0.25, 0, 0.25, 0.5, 0.75}) {
+            for (int by = 0; by < 3; by++) {
+                CareWorld world = new CareWorld(false, true);
+                world.pass(10);
+                if (after < 0) {
+                    world.cancel(by, true);
+                    world.pass(-after);
+                }
+                world.refuseLeader(true);
+                if (after >= 0) {
+                    world.pass(after);
+                    world.cancel(by, true);
+                }
+                world.pass(1 - Math.max(0, after));
+                outage(world);
+                assertEquals(0, world.expired, "by " + by + " after " + after);
+                assertFalse(world.running() && world.told(), "by " + by + " after " + after);
+            }
+        }
+    }
+
     @Test
     void confirmedByBothOthers() {
         CareWorld world = refused();
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -21,6 +21,8 @@
 import net.jqwik.api.constraints.Size;
 import net.jqwik.api.lifecycle.AfterContainer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Whatever the hints were: what an earlier leader sent is settled before anything starts elsewhere. */
 class StandbyTest {
@@ -251,6 +253,30 @@
         assertEquals(2.5, world.lastLedAfter(), 0.15);
     }
 
+    /**
+     * Leaders change ten times in two minutes, also inside an outage, with cancellations and questions just before and after each, and
+     * reports that are kept for the next one.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void leadersChangeTenTimes(long seed) {
+        StandbyWorld world = new StandbyWorld(seed);
+        world.keepForNext(true);
+        world.pass(6, 0);
+        for (int i = 0; i < 12; i++) {
+            world.outage(i % 6 == 3);
+            world.lost(i % 3);
+            world.cut(i, i % 2 == 0);
+            world.mute(i + 2, i % 2 == 1);
+            world.cancelOnTheChange(i * 7);
+            world.finish(i);
+            world.tell();
+            world.pass(9, i % 4);
+        }
+        world.settle();
+        assertTrue(world.cancelled >= 5 && world.keptForNext > 10, world.cancelled + " cancelled, " + world.keptForNext + " kept");
+    }
+
     /** Read at an older moment than the term's, records decide nothing. */
     @Test
     void oldRecordsAreReadAgain() {
