--- a/src/main/java/io/kelphoist/admission/JobLookup.java
+++ b/src/main/java/io/kelphoist/admission/JobLookup.java
@@ -52,7 +52,7 @@
     /** Final states that were read: they never change, so they can be said even without the state service. */
     private final Cache<String, JobRecord> finals = CacheBuilder.newBuilder().maximumSize(MOST_KEPT).concurrencyLevel(1).build();
     private final JobMirror mirror;
-    private final Told told = new Told();
+    private final MonotonicReads monotonic = new MonotonicReads();
     private final Map<String, List<Consumer<Found>>> asked = new HashMap<>();
 
     /** @param recentS how old a recent answer may be */
@@ -97,12 +97,12 @@
     /** What may be told now on a reading, or on what was written, if that was sent after {@code askedAt}. */
     Found good(String id, Found read, double askedAt) {
         JobRecord ended = finals.getIfPresent(id);
-        return ended != null ? new Known(ended) : told.good(id, read, askedAt);
+        return ended != null ? new Known(ended) : monotonic.good(id, read, askedAt);
     }
 
     /** A user is about to be told this. */
     void tell(JobRecord record) {
-        told.tell(record, loop.now());
+        monotonic.tell(record, loop.now());
     }
 
     private void ask(String id, Consumer<Found> handler) {
--- a/src/main/java/io/kelphoist/admission/Told.java
+++ b/src/main/java/io/kelphoist/admission/MonotonicReads.java
@@ -11,7 +11,7 @@
  * carried out later; handed over after that, the first would be an older answer. The list is bounded: readings from before
  * what was dropped of it are no good. Pure: records and time (the loop's clock, seconds) in.
  */
-final class Told {
+final class MonotonicReads {
     static final int MOST = 4000;
     /** No reading is under way for so long. */
     static final double KEPT_S = 20;
--- a/src/test/java/io/kelphoist/admission/ToldTest.java
+++ b/src/test/java/io/kelphoist/admission/MonotonicReadsTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.api.Test;
 
 /** What may be told on a reading, by what was told meanwhile; and at the bound of what is remembered of that, and one beyond. */
-class ToldTest {
-    private Told told;
+class MonotonicReadsTest {
+    private MonotonicReads monotonic;
 
     private static JobRecord record(int number, JobStatus status, long version) {
         JobSpec spec = new JobSpec("job-" + number, "c", "t", JobKind.ARRAY, Priority.NORMAL, 1, Resources.NONE, null, null, false, false, false, "i", 1, 1,
@@ -27,37 +27,37 @@
     }
 
     private JobLookup.Found good(JobLookup.Found read, double askedAt) {
-        return told.good("job-1", read, askedAt);
+        return monotonic.good("job-1", read, askedAt);
     }
 
     @BeforeEach
     void begin() {
-        told = new Told();
+        monotonic = new MonotonicReads();
     }
 
     @Test
     void whatWasToldIsNotTakenBack() {
         assertEquals(active(1, 5), good(active(1, 5), 0));
         assertEquals(new JobLookup.Absent(), good(new JobLookup.Absent(), 0));
-        told.tell(record(1, JobStatus.ACTIVE, 5), 1);
+        monotonic.tell(record(1, JobStatus.ACTIVE, 5), 1);
         assertEquals(active(1, 5), good(new JobLookup.Absent(), 0));
         assertEquals(active(1, 7), good(active(1, 7), 0));
         // A reading that says nothing is not made up for: what was told may be old by now.
         assertEquals(new JobLookup.Unavailable(), good(new JobLookup.Unavailable(), 0));
         JobRecord cancelled = record(1, JobStatus.CANCELLED, 6);
-        told.tell(cancelled, 2);
-        told.tell(record(1, JobStatus.ACTIVE, 5), 3);
+        monotonic.tell(cancelled, 2);
+        monotonic.tell(record(1, JobStatus.ACTIVE, 5), 3);
         assertEquals(new JobLookup.Known(cancelled), good(active(1, 5), 0));
     }
 
     @Test
     void whatWasDroppedMakesOlderReadingsNoGood() {
-        told.tell(record(1, JobStatus.ACTIVE, 5), 1);
-        for (int i = 2; i <= Told.MOST; i++) {
-            told.tell(record(i, JobStatus.ACTIVE, 5), 1 + i / 1000.0);
+        monotonic.tell(record(1, JobStatus.ACTIVE, 5), 1);
+        for (int i = 2; i <= MonotonicReads.MOST; i++) {
+            monotonic.tell(record(i, JobStatus.ACTIVE, 5), 1 + i / 1000.0);
         }
         assertEquals(active(1, 5), good(new JobLookup.Absent(), 0.5));
-        told.tell(record(Told.MOST + 1, JobStatus.ACTIVE, 5), 6);
+        monotonic.tell(record(MonotonicReads.MOST + 1, JobStatus.ACTIVE, 5), 6);
         assertEquals(new JobLookup.Unavailable(), good(new JobLookup.Absent(), 0.5));
         assertEquals(new JobLookup.Unavailable(), good(active(1, 4), 1));
         // Whoever asked after that is told what is read; an end is one whenever it was read.
@@ -68,10 +68,10 @@
 
     @Test
     void whatIsLongPastIsDropped() {
-        told.tell(record(1, JobStatus.ACTIVE, 5), 1);
-        told.tell(record(2, JobStatus.ACTIVE, 5), 1 + Told.KEPT_S);
+        monotonic.tell(record(1, JobStatus.ACTIVE, 5), 1);
+        monotonic.tell(record(2, JobStatus.ACTIVE, 5), 1 + MonotonicReads.KEPT_S);
         assertEquals(active(1, 5), good(new JobLookup.Absent(), 0.5));
-        told.tell(record(2, JobStatus.ACTIVE, 6), 1.1 + Told.KEPT_S);
+        monotonic.tell(record(2, JobStatus.ACTIVE, 6), 1.1 + MonotonicReads.KEPT_S);
         assertEquals(new JobLookup.Unavailable(), good(new JobLookup.Absent(), 0.5));
     }
 }
