--- a/src/main/java/io/kelphoist/core/Cluster.java
+++ b/src/main/java/io/kelphoist/core/Cluster.java
@@ -545,7 +545,7 @@
         if (report != null) {
             intake.onAnswer(report, now);
         } else if (m != null) {
-            m.hearing.unanswered(outcome, now);
+            m.reachability.unanswered(outcome, now);
         }
     }
 
@@ -569,7 +569,7 @@
         }
         if (outcome != OrderOutcome.EXECUTED && outcome != OrderOutcome.REFUSED) {
             m.ordersRetryAt = now + policy.reportS() * 2;
-            m.hearing.unanswered(outcome, now);
+            m.reachability.unanswered(outcome, now);
         }
         if (report != null) {
             intake.onAnswer(report, now);
--- a/src/main/java/io/kelphoist/core/Fleet.java
+++ b/src/main/java/io/kelphoist/core/Fleet.java
@@ -402,8 +402,8 @@
     }
 
     private boolean deaf(Machine m, double now) {
-        return now >= nextDeaf && m.hearing.state() == Hearing.State.DEAF
-                && m.hearing.doubtedFor(now) > DEAF_LEASES * cluster.policy.leaseS();
+        return now >= nextDeaf && m.reachability.state() == Reachability.State.DEAF
+                && m.reachability.doubtedFor(now) > DEAF_LEASES * cluster.policy.leaseS();
     }
 
     private void hearsNothing(Machine m, double now) {
--- a/src/main/java/io/kelphoist/core/Intake.java
+++ b/src/main/java/io/kelphoist/core/Intake.java
@@ -41,7 +41,7 @@
      */
     List<Command> onReport(MachineReport report, String via, double now) {
         Machine m = known(report, now);
-        if (m == null || m.hearing.beganAnew()) {
+        if (m == null || m.reachability.beganAnew()) {
             return null;
         }
         if (report.session() <= m.deadSession) {
@@ -49,22 +49,22 @@
             check(m, now);
             return null;
         }
-        if (m.hearing.seen(report) || m.confirmed && report.token() < cluster.term) {
+        if (m.reachability.seen(report) || m.confirmed && report.token() < cluster.term) {
             // A copy, to which nobody listens any more; or a new beginning, which holds nothing but what is still under way to it.
-            m.hearing.mayHaveBegun(now);
-            if (!m.hearing.seen(report)) {
+            m.reachability.mayHaveBegun(now);
+            if (!m.reachability.seen(report)) {
                 // Or it was sent just before a question told the machine of this term: then the answer is waited for, and renews.
                 m.lastAnswer = now;
             }
-            if (report.token() < cluster.term || !m.hearing.crossed(report)) {
+            if (report.token() < cluster.term || !m.reachability.crossed(report)) {
                 check(m, now);
             }
             return List.of();
         }
-        if (report.session() > m.session && m.confirmed && m.state().reports() && !m.hearing.doubted()
-                && m.hearing.answeredInVain(m.lastAnswer, cluster.policy.leaseS(), now)) {
+        if (report.session() > m.session && m.confirmed && m.state().reports() && !m.reachability.doubted()
+                && m.reachability.answeredInVain(m.lastAnswer, cluster.policy.leaseS(), now)) {
             // Its lease can't be over unless answers were lost; or this is a copy, and the machine began anew unnoticed.
-            m.hearing.unlikely(report);
+            m.reachability.unlikely(report);
             m.lastAnswer = now;
             check(m, now);
             return List.of();
@@ -72,10 +72,10 @@
         long session = m.session;
         long seq = m.seq;
         take(m, report, now);
-        boolean turnedAway = m.hearing.reported(report, session, seq, via, cluster.policy.leaseS(), now);
+        boolean turnedAway = m.reachability.reported(report, session, seq, via, cluster.policy.leaseS(), now);
         m.lastAnswer = now;
         m.heard(now);
-        if (m.hearing.doubted() || turnedAway) {
+        if (m.reachability.doubted() || turnedAway) {
             check(m, now);
         }
         if (!m.state().reports() && m.state() != Machine.State.RETURNING) {
@@ -93,39 +93,39 @@
             take(m, report, now);
             // It hears; whether any controller hears it only a report shows, and only that keeps its lease. Counted as heard, it
             // would get new work with each order that it answers, which dies with the lease.
-            m.hearing.hears(now);
+            m.reachability.hears(now);
         }
     }
 
-    /** How a check ended, see {@link Hearing}; {@code report} null: without an answer. */
+    /** How a check ended, see {@link Reachability}; {@code report} null: without an answer. */
     void onChecked(String machine, Cluster.OrderOutcome outcome, MachineReport report, double now) {
         Machine m = cluster.machines.get(machine);
         if (m == null) {
             return;
         }
-        m.hearing.checked();
+        m.reachability.checked();
         if (report == null) {
             if (outcome != Cluster.OrderOutcome.NOT_TRIED) {
-                m.hearing.inVain(now);
-                MachineReport believed = m.hearing.believed();
+                m.reachability.inVain(now);
+                MachineReport believed = m.reachability.believed();
                 if (believed != null) {
                     take(m, believed, now);
                 }
             }
-        } else if (report.machine().equals(machine) && report.token() <= cluster.term && m.hearing.provesNewBeginning(report, cluster.term)) {
+        } else if (report.machine().equals(machine) && report.token() <= cluster.term && m.reachability.provesNewBeginning(report, cluster.term)) {
             if (m.confirmed) {
                 beganAnew(m, now);
             } else {
                 // What was known of it was a copy's. Nothing of this term is there.
                 m.session = 0;
                 m.seq = 0;
-                m.hearing.forget();
+                m.reachability.forget();
                 onAnswer(report, now);
             }
         } else {
             if (report.machine().equals(machine)) {
-                m.hearing.goesOn();
-                m.hearing.believed();
+                m.reachability.goesOn();
+                m.reachability.believed();
             }
             onAnswer(report, now);
         }
@@ -136,19 +136,19 @@
      * well. So what was there counts until the machine is surely gone: it goes back to the cloud, and is answered no more.
      */
     private void beganAnew(Machine m, double now) {
-        if (m.hearing.beganAnew()) {
+        if (m.reachability.beganAnew()) {
             return;
         }
         LOG.warn("machine {} began anew, {} tasks were on it: it goes back", m.name, m.placements.size());
-        m.hearing.begunAnew();
-        m.hearing.mayHaveBegun(now);
+        m.reachability.begunAnew();
+        m.reachability.mayHaveBegun(now);
         m.to(Machine.State.RETURNING, now);
     }
 
     /** Asks a machine whether it hears, and as whom; seldom, and one question at a time. */
     private void check(Machine m, double now) {
-        if (m.address != null && first.mayDecide(now) && m.hearing.checkDue(now)) {
-            m.hearing.checking(m.session, m.seq, m.confirmed, now);
+        if (m.address != null && first.mayDecide(now) && m.reachability.checkDue(now)) {
+            m.reachability.checking(m.session, m.seq, m.confirmed, now);
             cluster.effects.check(m);
         }
     }
--- a/src/main/java/io/kelphoist/core/Leases.java
+++ b/src/main/java/io/kelphoist/core/Leases.java
@@ -30,7 +30,7 @@
         }
         nextRun = now + EVERY_S;
         for (Machine m : cluster.machines.values()) {
-            m.quiet = m.hearing.doubted() || now > m.lastReport + Policy.REPORT_ROUND * cluster.policy.reportS() + LATE_S;
+            m.quiet = m.reachability.doubted() || now > m.lastReport + Policy.REPORT_ROUND * cluster.policy.reportS() + LATE_S;
             if (m.quiet) {
                 withdraw(m, now);
             }
@@ -62,7 +62,7 @@
     private void expire(Machine m, double now) {
         boolean watched = m.state().reports() || m.state() == Machine.State.JOINING || m.state() == Machine.State.RETURNING;
         double lease = cluster.policy.leaseS() * (1 + 2 * Policy.DRIFT) + TIMER_MARGIN_S;
-        if (!watched || now < Math.max(m.lastAnswer, m.hearing.mayHaveBegunAt()) + lease || now < others.latest(m.name, cluster.zones.name(m.zone), now) + lease) {
+        if (!watched || now < Math.max(m.lastAnswer, m.reachability.mayHaveBegunAt()) + lease || now < others.latest(m.name, cluster.zones.name(m.zone), now) + lease) {
             return;
         }
         if (m.state() == Machine.State.RETURNING && m.placements.isEmpty()) {
--- a/src/main/java/io/kelphoist/core/Machine.java
+++ b/src/main/java/io/kelphoist/core/Machine.java
@@ -56,7 +56,7 @@
     boolean emptying;
     double ordersRetryAt;
     /** Whether it acts on what it is told. */
-    final Hearing hearing = new Hearing();
+    final Reachability reachability = new Reachability();
     /** It was seen to hold the token of this term: an older one is of before, or of a new beginning. */
     boolean confirmed;
     /** It may be cut off: it has missed a report, or it is doubted that it hears. Gets no new work until that is over. */
@@ -182,7 +182,7 @@
         }
         toldSession = told.session();
         if (told.quiet() && unheard()) {
-            hearing.inVain(lastReport);
+            reachability.inVain(lastReport);
         }
         toldDraining = told.blamed();
         toldOpen = told.open();
@@ -201,7 +201,7 @@
 
     /** Its reports may come, but not what it is told. */
     public boolean doubted() {
-        return hearing.doubted() && state.reports();
+        return reachability.doubted() && state.reports();
     }
 
     public boolean mayRunSomething() {
@@ -289,12 +289,12 @@
     /** A report came that is no copy. */
     void heard(double now) {
         lastReport = now;
-        quiet = hearing.doubted();
+        quiet = reachability.doubted();
     }
 
     /** Why a lease may have ended: it was silent, its reports were not answered, or it did not hear the answers. */
     String heardAndAnswered(double now) {
-        return "last report " + Math.round(now - lastReport) + " s ago, last answer " + Math.round(now - lastAnswer) + " s ago, " + hearing.state();
+        return "last report " + Math.round(now - lastReport) + " s ago, last answer " + Math.round(now - lastAnswer) + " s ago, " + reachability.state();
     }
 
     /** Something may run here that a user has cancelled. */
@@ -310,7 +310,7 @@
     /** For whoever looks for what is wrong. */
     @Override
     public String toString() {
-        return name + " " + session + "." + seq + " " + state + (quiet ? " quiet " : " ") + hearing.state() + " " + placements;
+        return name + " " + session + "." + seq + " " + state + (quiet ? " quiet " : " ") + reachability.state() + " " + placements;
     }
 
     boolean heldForOther(Job job, double now) {
--- a/src/main/java/io/kelphoist/core/Hearing.java
+++ b/src/main/java/io/kelphoist/core/Reachability.java
@@ -10,7 +10,7 @@
  * and counts from 1 again. Both are reckoned with until a check tells them apart: a check is answered after it was sent, so
  * its answer is newer than all that was known then, unless the machine began anew. Pure.
  */
-final class Hearing {
+final class Reachability {
     /** Named states; {@link #to} is the one place where they change. */
     enum State {
         /** Nothing speaks against it. */
--- a/src/test/java/io/kelphoist/core/Scenario.java
+++ b/src/test/java/io/kelphoist/core/Scenario.java
@@ -347,7 +347,7 @@
                     .map(q -> q.getKey() + "@" + q.getValue()).collect(Collectors.joining(" ")));
             case "lost" -> assertEquals(rest(w, 2), lost.isEmpty() ? "none" : String.join(" ", lost));
             case "checks" -> assertEquals(rest(w, 2), checks.isEmpty() ? "none" : String.join(" ", checks));
-            case "hearing" -> assertEquals(w[3], cluster.machines.get(w[2]).hearing.state().name().toLowerCase());
+            case "reachability" -> assertEquals(w[3], cluster.machines.get(w[2]).reachability.state().name().toLowerCase());
             case "check" -> assertEquals(Boolean.valueOf(w[3]), !Double.isNaN(takeOver.passedAfter(Check.valueOf(w[2]))));
             case "recovered" -> assertEquals(Boolean.valueOf(w[2]), cluster.recovered());
             case "deposed" -> assertEquals(Boolean.valueOf(w[2]), cluster.deposed());
