Names: a watermark of known cancellations, and confirmed cancellations with a controller's statement of them

care.Horizon is CancellationWatermark, care.Notebook ConfirmedCancellations, its Word a Statement. What is sent, metrics and settings keep their names. Nothing else changes.

--- a/src/main/java/io/kelphoist/admission/Admission.java
+++ b/src/main/java/io/kelphoist/admission/Admission.java
@@ -84,7 +84,7 @@
     private final Unanswered unanswered = new Unanswered();
     private final EnumMap<Answer.PutOff, Long> putOff = new EnumMap<>(Answer.PutOff.class);
 
-    /** @param tells told of each record before a user is told of it, see {@link io.kelphoist.care.Notebook} */
+    /** @param tells told of each record before a user is told of it, see {@link io.kelphoist.care.ConfirmedCancellations} */
     public Admission(Reads state, Writes committer, StateClient.Loop loop, LongSupplier wallMs, Knowledge knowledge,
                      List<Team> teams, List<String> zones, double valueKb, double cancelS, Consumer<JobRecord> tells) {
         this.lookup = new JobLookup(state, loop, RECENT * cancelS);
--- a/src/main/java/io/kelphoist/care/Horizon.java
+++ b/src/main/java/io/kelphoist/care/CancellationWatermark.java
@@ -9,11 +9,11 @@
  * Up to when a leader knows all cancellations that any user was told of: whatever is later it may not know, so that nothing is
  * renewed or started past that moment plus what a cancellation has, less a lease ({@link Care#renewS}). Two sources move it
  * on. An answered read of the jobs, as of when it was asked for: a cancellation is stored before it is told. And the word of
- * every other controller on what it told ({@link Notebook}), as of when the oldest of those requests was sent: the state
+ * every other controller on what it told ({@link ConfirmedCancellations}), as of when the oldest of those requests was sent: the state
  * service may be down, or refuse the leader alone, for longer than a cancellation has. What this controller told itself it
  * must take in at once. Pure: events and time (the leader's steady clock, seconds) in; one for each term.
  */
-public final class Horizon {
+public final class CancellationWatermark {
     private static final class Teller {
         /** All that it told before this moment is known here. */
         double until = Double.NEGATIVE_INFINITY;
@@ -26,7 +26,7 @@
     private double read = Double.NEGATIVE_INFINITY;
 
     /** @param others all other controllers, heard or not */
-    public Horizon(Collection<String> others) {
+    public CancellationWatermark(Collection<String> others) {
         others.forEach(name -> tellers.put(name, new Teller()));
     }
 
@@ -44,21 +44,21 @@
      *
      * @param sentAt when the request was sent
      */
-    public void heard(String peer, Notebook.Word word, double sentAt, double now) {
+    public void heard(String peer, ConfirmedCancellations.Statement statement, double sentAt, double now) {
         Teller t = tellers.get(peer);
         if (t == null) {
             return;
         }
         boolean newest = sentAt >= t.askedAt;
-        if (newest && word.life() != t.life) {
-            t.life = word.life();
+        if (newest && statement.life() != t.life) {
+            t.life = statement.life();
             t.acknowledged = 0;
         }
-        if (word.life() == t.life) {
-            t.acknowledged = Math.max(t.acknowledged, word.upTo());
+        if (statement.life() == t.life) {
+            t.acknowledged = Math.max(t.acknowledged, statement.upTo());
         }
         t.askedAt = Math.max(t.askedAt, sentAt);
-        if (word.whole() && now - word.sinceS() * (1 - 2 * Policy.DRIFT) <= t.until) {
+        if (statement.whole() && now - statement.sinceS() * (1 - 2 * Policy.DRIFT) <= t.until) {
             t.until = Math.max(t.until, sentAt);
         }
     }
--- a/src/main/java/io/kelphoist/care/Notebook.java
+++ b/src/main/java/io/kelphoist/care/ConfirmedCancellations.java
@@ -11,7 +11,7 @@
  * leader that can't ask the state service has nothing else to know it from. The list is bounded: what was dropped from it
  * is not vouched for. Pure: events and time (this process' steady clock, seconds) in.
  */
-public final class Notebook {
+public final class ConfirmedCancellations {
     /**
      * What a controller vouches for: all that it told to be cancelled within the last {@code sinceS} and that the leader has not
      * acknowledged.
@@ -21,8 +21,8 @@
      * @param upTo the number of the newest of {@code jobs}; to be acknowledged
      * @param whole false: there are more, and nothing is vouched for yet
      */
-    public record Word(long life, double sinceS, long upTo, boolean whole, List<String> jobs) {
-        public Word {
+    public record Statement(long life, double sinceS, long upTo, boolean whole, List<String> jobs) {
+        public Statement {
             jobs = List.copyOf(jobs);
         }
     }
@@ -31,7 +31,7 @@
 
     /** A crowd of users that cancel within a long outage; more are not vouched for. */
     static final int MOST_KEPT = 4000;
-    /** In one word: some 20 KB. */
+    /** In one statement: some 20 KB. */
     static final int MOST_SAID = 1000;
 
     private final long life;
@@ -45,7 +45,7 @@
     private double dropped;
 
     /** @param life differs from that of every other process of this controller; {@code now}: when it began */
-    public Notebook(long life, double now) {
+    public ConfirmedCancellations(long life, double now) {
         this.life = life;
         this.since = now;
         this.dropped = now;
@@ -83,7 +83,7 @@
      * @param acknowledged by it, of this life
      * @return null: nothing, as there is a newer term
      */
-    public Word word(long ofTerm, long ofLife, long acknowledged, double now) {
+    public Statement statement(long ofTerm, long ofLife, long acknowledged, double now) {
         heard(ofTerm);
         if (ofTerm < term) {
             return null;
@@ -102,7 +102,7 @@
             jobs.add(e.getKey());
             upTo = e.getValue().number;
         }
-        return new Word(life, now - since, upTo, jobs.size() == told.size(), jobs);
+        return new Statement(life, now - since, upTo, jobs.size() == told.size(), jobs);
     }
 
     /** All of it, for the term that is led here. */
--- a/src/main/java/io/kelphoist/daemon/Cancellations.java
+++ b/src/main/java/io/kelphoist/daemon/Cancellations.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.kelphoist.care.Care;
-import io.kelphoist.care.Horizon;
-import io.kelphoist.care.Notebook;
+import io.kelphoist.care.CancellationWatermark;
+import io.kelphoist.care.ConfirmedCancellations;
 import io.kelphoist.core.Command;
 import io.kelphoist.core.JobRecord;
 import io.kelphoist.core.JobStatus;
@@ -31,9 +31,9 @@
     private final StateClient.Loop loop;
     private final DoubleSupplier recordsUntil;
     private final Counters counters;
-    private final Notebook notebook;
+    private final ConfirmedCancellations confirmed;
     /** Of the term that is led here; null: none is, or its records are not taken in. */
-    private Horizon horizon;
+    private CancellationWatermark watermark;
     /** Takes in what is known to be cancelled while this controller leads. */
     private Consumer<String> taker;
     private boolean closed;
@@ -50,13 +50,13 @@
         this.loop = loop;
         this.recordsUntil = recordsUntil;
         this.counters = counters;
-        notebook = new Notebook(ThreadLocalRandom.current().nextLong(1, 1L << 52), startedAt);
+        confirmed = new ConfirmedCancellations(ThreadLocalRandom.current().nextLong(1, 1L << 52), startedAt);
     }
 
     /** A user is about to be told how a job stands: if it is cancelled, that is noted first. */
     void tells(JobRecord job) {
         if (job.status() == JobStatus.CANCELLED) {
-            notebook.note(job.id(), loop.now());
+            confirmed.note(job.id(), loop.now());
             if (taker != null) {
                 taker.accept(job.id());
             }
@@ -67,36 +67,36 @@
 
     /** The records of a term that is led here are taken in; what was told here since they were read follows at once. */
     void lead(long term, Consumer<String> into) {
-        horizon = new Horizon(others);
+        watermark = new CancellationWatermark(others);
         taker = into;
-        notebook.heard(term);
-        notebook.jobs().forEach(into);
+        confirmed.heard(term);
+        confirmed.jobs().forEach(into);
     }
 
     void ended() {
-        horizon = null;
+        watermark = null;
         taker = null;
         known = Double.NaN;
     }
 
     /** Adds to a request for a grant what is known of that controller. */
     void ask(String peer, ObjectNode request) {
-        if (horizon != null) {
-            request.set(ToldCodec.FIELD, ToldCodec.acknowledged(horizon.life(peer), horizon.acknowledged(peer)));
+        if (watermark != null) {
+            request.set(ToldCodec.FIELD, ToldCodec.acknowledged(watermark.life(peer), watermark.acknowledged(peer)));
         }
     }
 
     void answered(String peer, JsonNode answer, double sentAt) {
-        if (horizon == null) {
+        if (watermark == null) {
             return;
         }
         try {
-            Notebook.Word word = ToldCodec.word(answer.path(ToldCodec.FIELD));
-            if (word == null) {
+            ConfirmedCancellations.Statement statement = ToldCodec.statement(answer.path(ToldCodec.FIELD));
+            if (statement == null) {
                 return;
             }
-            word.jobs().forEach(taker);
-            horizon.heard(peer, word, sentAt, loop.now());
+            statement.jobs().forEach(taker);
+            watermark.heard(peer, statement, sentAt, loop.now());
         } catch (BadMessage e) {
             counters.badMessages++;
             LOG.debug("{} sent {}", peer, e.getMessage());
@@ -105,11 +105,11 @@
 
     /** All cancellations that anybody was told of before this moment (the loop's clock) are known here, and while this controller leads acted on. */
     double knownUntil() {
-        if (horizon == null) {
+        if (watermark == null) {
             return recordsUntil.getAsDouble();
         }
-        horizon.read(recordsUntil.getAsDouble());
-        known = horizon.knownUntil(loop.now());
+        watermark.read(recordsUntil.getAsDouble());
+        known = watermark.knownUntil(loop.now());
         return known;
     }
 
@@ -138,9 +138,9 @@
     /** A leader asks for a grant; adds to the answer what is vouched for. */
     void asked(JsonNode request, long term, ObjectNode answer) {
         ToldCodec.Acknowledged has = ToldCodec.acknowledged(request.path(ToldCodec.FIELD));
-        Notebook.Word word = has == null ? null : notebook.word(term, has.life(), has.upTo(), loop.now());
-        if (word != null) {
-            answer.set(ToldCodec.FIELD, ToldCodec.word(word));
+        ConfirmedCancellations.Statement statement = has == null ? null : confirmed.statement(term, has.life(), has.upTo(), loop.now());
+        if (statement != null) {
+            answer.set(ToldCodec.FIELD, ToldCodec.statement(statement));
         }
     }
 
@@ -151,6 +151,6 @@
     }
 
     int unacknowledged() {
-        return notebook.size();
+        return confirmed.size();
     }
 }
--- a/src/main/java/io/kelphoist/peer/ToldCodec.java
+++ b/src/main/java/io/kelphoist/peer/ToldCodec.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.kelphoist.care.Notebook;
+import io.kelphoist.care.ConfirmedCancellations;
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
 import io.kelphoist.wire.Codec;
@@ -35,10 +35,10 @@
                 ? new Acknowledged(m.path("life").asLong(), m.path("have").asLong()) : null;
     }
 
-    public static ObjectNode word(Notebook.Word word) {
-        ObjectNode m = Cbor.map().put("life", word.life()).put("since_s", word.sinceS()).put("to", word.upTo()).put("whole", word.whole());
+    public static ObjectNode statement(ConfirmedCancellations.Statement statement) {
+        ObjectNode m = Cbor.map().put("life", statement.life()).put("since_s", statement.sinceS()).put("to", statement.upTo()).put("whole", statement.whole());
         ArrayNode jobs = m.putArray("jobs");
-        word.jobs().forEach(jobs::add);
+        statement.jobs().forEach(jobs::add);
         return m;
     }
 
@@ -47,7 +47,7 @@
      *
      * @throws BadMessage it is none that may be used: nothing of it is
      */
-    public static Notebook.Word word(JsonNode m) throws BadMessage {
+    public static ConfirmedCancellations.Statement statement(JsonNode m) throws BadMessage {
         if (m.isMissingNode() || m.isNull()) {
             return null;
         }
@@ -63,6 +63,6 @@
             }
             names.add(job.asText());
         }
-        return new Notebook.Word(m.path("life").asLong(), m.path("since_s").asDouble(), m.path("to").asLong(), m.path("whole").asBoolean(), names);
+        return new ConfirmedCancellations.Statement(m.path("life").asLong(), m.path("since_s").asDouble(), m.path("to").asLong(), m.path("whole").asBoolean(), names);
     }
 }
--- a/src/test/java/io/kelphoist/care/CareWorld.java
+++ b/src/test/java/io/kelphoist/care/CareWorld.java
@@ -39,7 +39,7 @@
         long life;
         double bornAt;
         Mandate mandate;
-        Notebook notebook;
+        ConfirmedCancellations confirmed;
         boolean up = true;
         boolean refused;
         double lastGranted = Double.NEGATIVE_INFINITY;
@@ -75,7 +75,7 @@
     private double blindUntil;
     private long term;
     private Caretakers caretakers;
-    private Horizon horizon;
+    private CancellationWatermark watermark;
     private double lastAnswer;
     private boolean outage;
     /** What the leader's key has left; not counted while the state service is down. */
@@ -118,7 +118,7 @@
         n.bornAt = now;
         n.up = true;
         n.mandate = new Mandate(care, n.zone, n.life);
-        n.notebook = new Notebook(n.life, n.clock(now));
+        n.confirmed = new ConfirmedCancellations(n.life, n.clock(now));
         n.keeps = false;
         // An earlier life may have granted up to its end.
         n.lastGranted = now;
@@ -135,9 +135,9 @@
         // Times of day differ from true time by a quarter of a second at most.
         onRecord.forEach((peer, base) -> caretakers.recorded(peer, n.clock(base) + 0.25 + 0.25));
         lastAnswer = n.clock(now);
-        horizon = new Horizon(others.keySet());
-        horizon.read(n.clock(now));
-        n.notebook.heard(term);
+        watermark = new CancellationWatermark(others.keySet());
+        watermark.read(n.clock(now));
+        n.confirmed.heard(term);
         knows = storedAt <= now;
         keyLeft = KEY_S;
         leaseUntil = now + KEY_S;
@@ -236,7 +236,7 @@
     }
 
     private void tell(Node n) {
-        n.notebook.note(JOB, n.clock(now));
+        n.confirmed.note(JOB, n.clock(now));
         if (toldAt == Double.POSITIVE_INFINITY) {
             toldElsewhere += n != leader && !reachesState(leader) ? 1 : 0;
             toldAt = now;
@@ -247,8 +247,8 @@
     /** Users cancel more through one controller than it keeps. */
     void crowd(int node) {
         Node n = nodes.get(node);
-        for (int i = 0; n.up && i <= Notebook.MOST_KEPT; i++) {
-            n.notebook.note("job-" + (1000 + i), n.clock(now));
+        for (int i = 0; n.up && i <= ConfirmedCancellations.MOST_KEPT; i++) {
+            n.confirmed.note("job-" + (1000 + i), n.clock(now));
         }
     }
 
@@ -281,7 +281,7 @@
     }
 
     private double knownUntil() {
-        return horizon.knownUntil(leader.clock(now));
+        return watermark.knownUntil(leader.clock(now));
     }
 
     private void step() {
@@ -294,7 +294,7 @@
             leaseUntil = now + KEY_S;
             if (now >= blindUntil) {
                 knows |= storedAt <= now;
-                horizon.read(l.clock(now));
+                watermark.read(l.clock(now));
             }
         }
         if (l.up && l.life == leaderLife && now >= nextAsk) {
@@ -347,9 +347,9 @@
         Caretakers asking = caretakers;
         double sentAt = from.clock(now);
         double sent = now;
-        Horizon itsHorizon = horizon;
-        long life = horizon.life(to.name);
-        long acknowledged = horizon.acknowledged(to.name);
+        CancellationWatermark itsWatermark = watermark;
+        long life = watermark.life(to.name);
+        long acknowledged = watermark.acknowledged(to.name);
         Offer offer = !mayAct() ? null : caretakers.offer(to.name, ImmutableSet.copyOf(except()), knownUntil(), sentAt);
         send(from, to, () -> {
             double clock = to.clock(now);
@@ -359,7 +359,7 @@
             }
             double caredS = to.mandate.caredAt() == Double.NEGATIVE_INFINITY ? Double.POSITIVE_INFINITY : clock - to.mandate.caredAt();
             Caretakers.Word word = new Caretakers.Word(to.life, clock, (now - to.bornAt) * to.rate, caredS, to.mandate.seq(askedTerm));
-            Notebook.Word told = to.notebook.word(askedTerm, life, acknowledged, clock);
+            ConfirmedCancellations.Statement told = to.confirmed.statement(askedTerm, life, acknowledged, clock);
             boolean grants = askedTerm == term && (keyLeft > 0 || !reachesState(to));
             if (grants) {
                 to.lastGranted = now;
@@ -369,7 +369,7 @@
                     asking.answered(to.name, sentAt, word, from.clock(now));
                     if (told != null) {
                         knows |= told.jobs().contains(JOB);
-                        itsHorizon.heard(to.name, told, sentAt, from.clock(now));
+                        itsWatermark.heard(to.name, told, sentAt, from.clock(now));
                     }
                     if (grants) {
                         this.grants.merge(to.name, sent + GRANT_S, Math::max);
--- a/src/test/java/io/kelphoist/care/GapTest.java
+++ b/src/test/java/io/kelphoist/care/GapTest.java
@@ -178,11 +178,11 @@
     /** A version without the field vouches for nothing: then the bound is all there is. */
     @Test
     void aPeerWithoutTheField() {
-        Horizon h = new Horizon(List.of("p", "q"));
+        CancellationWatermark h = new CancellationWatermark(List.of("p", "q"));
         h.read(100);
-        h.heard("p", new Notebook.Word(7, 50, 0, true, List.of()), 101, 101.1);
+        h.heard("p", new ConfirmedCancellations.Statement(7, 50, 0, true, List.of()), 101, 101.1);
         assertEquals(100, h.knownUntil(102), 1e-9);
-        h.heard("q", new Notebook.Word(8, 50, 0, true, List.of()), 101.5, 101.6);
+        h.heard("q", new ConfirmedCancellations.Statement(8, 50, 0, true, List.of()), 101.5, 101.6);
         assertEquals(101, h.knownUntil(102), 1e-9);
         Care care = Care.of(42, 22);
         assertTrue(care.mayRenew(101, 101 + 19.3));
@@ -192,52 +192,52 @@
     /** Neither a new life nor a list that was cut short reaches past what the records told. */
     @Test
     void wordsThatLeaveSomethingOut() {
-        Horizon h = new Horizon(List.of("p"));
+        CancellationWatermark h = new CancellationWatermark(List.of("p"));
         h.read(100);
-        h.heard("p", new Notebook.Word(7, 50, 3, true, List.of("job-1")), 101, 101.1);
+        h.heard("p", new ConfirmedCancellations.Statement(7, 50, 3, true, List.of("job-1")), 101, 101.1);
         assertEquals(3, h.acknowledged("p"));
-        h.heard("p", new Notebook.Word(7, 51, 5, false, List.of("job-2")), 102, 102.1);
+        h.heard("p", new ConfirmedCancellations.Statement(7, 51, 5, false, List.of("job-2")), 102, 102.1);
         assertEquals(101, h.knownUntil(103), 1e-9);
         // Born at 102.5, so that what its life before told between 101 and then is nowhere.
-        h.heard("p", new Notebook.Word(9, 0.5, 0, true, List.of()), 103, 103.1);
+        h.heard("p", new ConfirmedCancellations.Statement(9, 0.5, 0, true, List.of()), 103, 103.1);
         assertEquals(101, h.knownUntil(104), 1e-9);
         assertEquals(9, h.life("p"));
         assertEquals(0, h.acknowledged("p"));
         // The old life's word comes late: it does not bring its numbers back.
-        h.heard("p", new Notebook.Word(7, 51, 6, true, List.of()), 102.2, 104);
+        h.heard("p", new ConfirmedCancellations.Statement(7, 51, 6, true, List.of()), 102.2, 104);
         assertEquals(9, h.life("p"));
         assertEquals(0, h.acknowledged("p"));
         h.read(103);
-        h.heard("p", new Notebook.Word(9, 2.4, 0, true, List.of()), 105, 105.1);
+        h.heard("p", new ConfirmedCancellations.Statement(9, 2.4, 0, true, List.of()), 105, 105.1);
         assertEquals(105, h.knownUntil(106), 1e-9);
     }
 
     /** What one leader acknowledged the next may not have heard of: for that it must read the records. */
     @Test
     void acknowledgedToAnEarlierLeader() {
-        Notebook n = new Notebook(7, 100);
+        ConfirmedCancellations n = new ConfirmedCancellations(7, 100);
         n.note("job-1", 110);
-        Notebook.Word word = n.word(3, 0, 0, 111);
-        assertEquals(List.of("job-1"), word.jobs());
-        assertEquals(11, word.sinceS(), 1e-9);
-        assertEquals(List.of(), n.word(3, 7, word.upTo(), 112).jobs());
-        assertEquals(12, n.word(3, 7, word.upTo(), 112).sinceS(), 1e-9);
-        assertEquals(10, n.word(4, 7, word.upTo(), 120).sinceS(), 1e-9);
-        assertNull(n.word(3, 7, 99, 121));
+        ConfirmedCancellations.Statement statement = n.statement(3, 0, 0, 111);
+        assertEquals(List.of("job-1"), statement.jobs());
+        assertEquals(11, statement.sinceS(), 1e-9);
+        assertEquals(List.of(), n.statement(3, 7, statement.upTo(), 112).jobs());
+        assertEquals(12, n.statement(3, 7, statement.upTo(), 112).sinceS(), 1e-9);
+        assertEquals(10, n.statement(4, 7, statement.upTo(), 120).sinceS(), 1e-9);
+        assertNull(n.statement(3, 7, 99, 121));
     }
 
     /** Numbers of another life, and such as were never given, acknowledge nothing. */
     @Test
     void acknowledgementsOfAnotherLife() {
-        Notebook n = new Notebook(7, 100);
+        ConfirmedCancellations n = new ConfirmedCancellations(7, 100);
         n.note("job-1", 110);
-        assertEquals(List.of("job-1"), n.word(3, 6, 40, 111).jobs());
+        assertEquals(List.of("job-1"), n.statement(3, 6, 40, 111).jobs());
         n.note("job-1", 112);
         assertEquals(1, n.size());
-        assertEquals(List.of(), n.word(3, 7, 1_000, 113).jobs());
+        assertEquals(List.of(), n.statement(3, 7, 1_000, 113).jobs());
         n.note("job-2", 114);
-        Notebook.Word word = n.word(3, 7, 1, 115);
-        assertEquals(List.of("job-2"), word.jobs());
-        assertEquals(2, word.upTo());
+        ConfirmedCancellations.Statement statement = n.statement(3, 7, 1, 115);
+        assertEquals(List.of("job-2"), statement.jobs());
+        assertEquals(2, statement.upTo());
     }
 }
