--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -901,10 +901,10 @@
         int left = 0;
         int running = workers.stream().mapToInt(w -> w.on.size()).sum();
         for (JobRecord job : jobs.values()) {
-            if (job.status() == JobStatus.ACTIVE && needs.get(job.id()).stream().anyMatch(n -> jobs.get(n).status() == JobStatus.CANCELLED)) {
+            if (job.status() == JobStatus.ACTIVE && needs.getOrDefault(job.id(), List.of()).stream().anyMatch(n -> jobs.get(n).status() == JobStatus.CANCELLED)) {
                 throw new AssertionError(job.id() + " is not cancelled with what it needs");
             }
-            if (job.status() == JobStatus.ACTIVE && needs.get(job.id()).stream().allMatch(n -> jobs.get(n).status() == JobStatus.DONE)) {
+            if (job.status() == JobStatus.ACTIVE && needs.getOrDefault(job.id(), List.of()).stream().allMatch(n -> jobs.get(n).status() == JobStatus.DONE)) {
                 boolean over = true;
                 for (int task = 0; task < job.spec().tasks(); task++) {
                     left += results.contains(job.id() + "/" + task) ? 0 : 1;
