A leader of an old term is given nobody's word: two could act at once

Found by elections in the world of take-overs ("n1 for term 1, n2 for term 3 may act at once"), at its 150th story. The state service refuses leader n1 alone, which goes on asking for grants; n0 takes term 2 and hands over. With no leader's key to be read, the others' newest known term was that of the key, none: both gave n1 their word for term 1 again. Then term 2's "over" voided all words that n2 had given, also the one to term 1, so that n2 took term 3 at once, beside n1 with everybody's fresh grant. Tokens would have kept workers from obeying n1, but it could answer and decide.

Now the newest term that was ever heard of counts, by key, record, grant or "over"; and "over" voids only the words that were given to that term: one that was given to an older term lapses, as whoever kept its leader from acting may have begun anew.

--- a/src/main/java/io/kelphoist/core/Election.java
+++ b/src/main/java/io/kelphoist/core/Election.java
@@ -64,6 +64,10 @@
     private final Map<String, Double> grants = new HashMap<>();
     private double lastGranted;
     private long lastGrantedTerm;
+    /** The last word that was given to a term older than {@link #lastGrantedTerm}. */
+    private double grantedBefore;
+    /** The newest term that was ever heard of here: a leader of an older one is none any more, whether or not it knows. */
+    private long newestTerm;
     /** The newest term of which its own leader said that it is over. */
     private long overTerm;
     private double nextRenew;
@@ -85,6 +89,7 @@
         this.actions = actions;
         // An earlier life may have granted up to its end.
         this.lastGranted = startedAt;
+        this.grantedBefore = startedAt;
     }
 
     public State state() {
@@ -140,6 +145,7 @@
         }
         leader = holder;
         leaderTerm = holderTerm;
+        newestTerm = Math.max(newestTerm, Math.max(holderTerm, lastTerm));
         everLed = lastTerm > 0;
         if (state == State.LEADER && (holder == null || !holder.equals(self) || holderTerm != term)) {
             LOG.info("term {}: the leader key is {}", term, holder == null ? "gone" : "held by " + holder + " for term " + holderTerm);
@@ -149,19 +155,27 @@
         }
     }
 
-    /** Another controller asks for our word that we will not lead for a while. */
+    /**
+     * Another controller asks for our word that we will not lead for a while. One whom the state service refuses may lead an old
+     * term in its own mind for long; between two later terms, with no leader's key to be read, all others gave it their word again,
+     * and it acted beside the next leader.
+     */
     public boolean grant(long askedTerm, double now) {
-        if (state != State.FOLLOWER || askedTerm < leaderTerm || askedTerm <= overTerm) {
+        if (state != State.FOLLOWER || askedTerm < newestTerm || askedTerm <= overTerm) {
             return false;
         }
+        if (askedTerm > lastGrantedTerm) {
+            grantedBefore = lastGranted;
+            lastGrantedTerm = askedTerm;
+        }
         lastGranted = now;
-        lastGrantedTerm = Math.max(lastGrantedTerm, askedTerm);
+        newestTerm = askedTerm;
         return true;
     }
 
     /**
-     * The leader of a term says, after it stopped, that it acts no more. A word that was given to it need not lapse: it was
-     * for that term or an older one, which the same or an earlier leader can never act under again.
+     * The leader of a term says, after it stopped, that it acts no more. A word that was given to that term need not lapse. One
+     * that was given to an older term must: its leader may not know, and whoever kept it from acting may have begun anew.
      *
      * @param first this controller is to lead next; another one waits a moment, in case that one is dead
      */
@@ -170,7 +184,10 @@
             return;
         }
         overTerm = endedTerm;
-        lastGranted = Double.NEGATIVE_INFINITY;
+        newestTerm = Math.max(newestTerm, endedTerm);
+        if (endedTerm == lastGrantedTerm) {
+            lastGranted = grantedBefore;
+        }
         if (state == State.FOLLOWER) {
             known = true;
             leader = null;
@@ -190,6 +207,7 @@
             return;
         }
         term = newTerm;
+        newestTerm = Math.max(newestTerm, newTerm);
         lease = newLease;
         leaseUntil = until(sentAt);
         leader = self;
--- a/src/test/java/io/kelphoist/core/ElectionWorld.java
+++ b/src/test/java/io/kelphoist/core/ElectionWorld.java
@@ -17,7 +17,18 @@
  * through an outage, transactions that get no answer and are carried out late, a state service that refuses one controller. Time
  * is true time in seconds; nobody but the check sees it: no two may act at once.
  */
-final class ElectionWorld {
+public final class ElectionWorld {
+    /** Who is told of terms, while that happens. */
+    public interface Listener {
+        /** The key and the term are stored, which the controller that asked for it may not know yet. */
+        default void stored(String node, long term) { }
+
+        default void began(String node, long term) { }
+
+        /** The controller knows that its term is over, or its process has ended. */
+        default void ended(String node) { }
+    }
+
     private static final double LEASE_S = 3;
     private static final double GRANT_S = 1.5;
     private static final double STEP_S = 0.05;
@@ -141,6 +152,7 @@
                 }
                 term = new Key(name, lastTerm + 1, 0, ++revision);
                 leader = new Key(name, lastTerm + 1, lease, revision);
+                listener.stored(name, lastTerm + 1);
                 keysChanged();
                 return revision;
             };
@@ -245,15 +257,19 @@
         @Override
         public void began(long itsTerm) {
             terms++;
+            listener.began(name, itsTerm);
         }
 
         @Override
-        public void ended() { }
+        public void ended() {
+            listener.ended(name);
+        }
     }
 
-    private static final List<String> NAMES = List.of("n0", "n1", "n2");
+    public static final List<String> NAMES = List.of("n0", "n1", "n2");
 
     private final Random random;
+    private final Listener listener;
     private final List<Node> nodes = new ArrayList<>();
     private final PriorityQueue<Later> flying = new PriorityQueue<>(Comparator.comparingDouble(Later::at).thenComparing(Later::order));
     private final Map<List<Node>, List<Runnable>> held = new LinkedHashMap<>();
@@ -278,6 +294,11 @@
     int actedByGrants;
 
     ElectionWorld(long seed) {
+        this(seed, new Listener() { });
+    }
+
+    public ElectionWorld(long seed, Listener listener) {
+        this.listener = listener;
         random = new Random(seed);
         double[] rates = {1, 1 + Policy.DRIFT, 1 + Policy.DRIFT / 2};
         for (int i = 0; i < 3; i++) {
@@ -326,7 +347,7 @@
 
     // ---- what may happen ----
 
-    void link(int a, int b, boolean isCut) {
+    public void link(int a, int b, boolean isCut) {
         cut[a][b] = isCut;
         if (!isCut) {
             List<Runnable> late = held.remove(List.of(nodes.get(a), nodes.get(b)));
@@ -339,6 +360,7 @@
     void crash(int node, double backS) {
         Node n = nodes.get(node);
         n.up = false;
+        listener.ended(n.name);
         long life = n.life;
         later(backS, () -> {
             if (n.life == life) {
@@ -352,7 +374,7 @@
         nodes.get(node).frozenUntil = now + seconds;
     }
 
-    void outage(boolean down) {
+    public void outage(boolean down) {
         if (outage && !down) {
             // All leases have their full time again.
             leases.replaceAll((lease, until) -> now + LEASE_S);
@@ -364,16 +386,16 @@
         nodes.get(node).refused = refused;
     }
 
-    void refuseLeader() {
+    public void refuseLeader() {
         nodes.stream().filter(n -> n.election.state() == Election.State.LEADER).forEach(n -> n.refused = true);
     }
 
-    void late(int ofTen) {
+    public void late(int ofTen) {
         lateShare = ofTen;
     }
 
     /** @param ofTen of so many requests to the state service the answer is lost, and they are carried out */
-    void lost(int ofTen) {
+    public void lost(int ofTen) {
         lostShare = ofTen;
     }
 
@@ -384,16 +406,48 @@
         }
     }
 
-    void crashLeader(double backS) {
+    public void freezeLeader(double seconds) {
+        nodes.stream().filter(this::acts).findFirst().ifPresent(n -> freeze(nodes.indexOf(n), seconds));
+    }
+
+    public void crashLeader(double backS) {
         nodes.stream().filter(this::acts).findFirst().ifPresent(n -> crash(nodes.indexOf(n), backS));
     }
 
-    void resignLeader() {
+    public void resignLeader() {
         nodes.stream().filter(this::acts).findFirst().ifPresent(n -> resign(nodes.indexOf(n)));
     }
 
-    /** All troubles are over: soon there is one that may act, and it is the same for a while. */
+    /** All troubles are over: soon there is one that may act. */
     void settle() {
+        calm();
+        pass(40);
+        if (nodes.stream().noneMatch(this::acts)) {
+            throw new AssertionError("nobody leads when all is over: " + this);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return nodes.stream().map(n -> n.name + " " + n.election.state() + " sees " + n.election.leader()).toList().toString();
+    }
+
+    /** Whether this controller may act for this term now. */
+    public boolean acts(String node, long itsTerm) {
+        Node n = node(node);
+        return acts(n) && n.election.term() == itsTerm;
+    }
+
+    public boolean refused(String node) {
+        return node(node).refused;
+    }
+
+    private Node node(String name) {
+        return nodes.get(NAMES.indexOf(name));
+    }
+
+    /** All troubles end now. */
+    public void calm() {
         for (int a = 0; a < 3; a++) {
             refuse(a, false);
             freeze(a, 0);
@@ -404,17 +458,13 @@
         late(0);
         lost(0);
         outage(false);
-        pass(40);
-        if (nodes.stream().noneMatch(this::acts)) {
-            throw new AssertionError("nobody leads when all is over: " + nodes.stream().map(n -> n.name + " " + n.election.state() + " sees " + n.election.leader()).toList());
-        }
     }
 
     private boolean acts(Node n) {
         return n.runs() && n.election.mayAct(n.clock());
     }
 
-    void pass(double seconds) {
+    public void pass(double seconds) {
         for (double until = now + seconds; now < until;) {
             now += STEP_S;
             if (!outage) {
--- a/src/test/java/io/kelphoist/standby/StandbyTest.java
+++ b/src/test/java/io/kelphoist/standby/StandbyTest.java
@@ -38,6 +38,8 @@
     private static int gangsDone;
     private static int savedOnce;
     private static int startsMute;
+    private static int electedStarts;
+    private static int elected;
     private static int rented;
     private static int keptForNext;
     private static int closeLooks;
@@ -68,6 +70,10 @@
             case 25 -> world.keepForNext(step / 30 % 3 > 0);
             case 26 -> world.cancelOnTheChange(step / 30);
             case 27 -> world.closeLook(step / 30);
+            case 28 -> {
+                world.link(step / 30 % 3, (step / 30 + 1) % 3, step / 90 % 2 == 0);
+                world.ask(step / 30);
+            }
             default -> world.ask(step / 30);
         }
         world.tell();
@@ -99,12 +105,24 @@
         lostAnswers += world.lostAnswers();
     }
 
+    /** The same where three controllers elect who leads, and end, stand still, resign and hear each other or not. */
+    @Property(tries = 800, seed = "20261207")
+    void nothingRunsTwiceWhoeverIsElected(@ForAll long seed, @ForAll @Size(min = 4, max = 40) List<@IntRange(min = 0, max = 1499) Integer> story) {
+        StandbyWorld world = new StandbyWorld(seed, 2, StandbyWorld.Size.USUAL, true);
+        world.pass(10, 0);
+        story.forEach(step -> play(world, step));
+        world.settle();
+        electedStarts += world.starts;
+        elected += world.terms();
+    }
+
     /** The property would hold as well if nothing were ever started, or every take-over waited out its round. */
     @AfterContainer
     static void somethingHappened() {
         assertTrue(starts > 5_000 && quick > 2000 && expired > 300, starts + " starts, " + quick + " quick take-overs, " + expired + " leases over");
         assertTrue(restarts > 1000 && returned > 500 && copied > 5000, restarts + " restarts, " + returned + " machines returned, " + copied + " copies");
         assertTrue(cancelled > 1000 && ended > 500 && lateApplied > 100, cancelled + " cancelled, " + ended + " done, " + lateApplied + " written late");
+        assertTrue(elected > 1500 && electedStarts > 5000, elected + " were elected, " + electedStarts + " starts by them");
         assertTrue(startsMute > 100 && rented > 1000 && keptForNext > 1000 && closeLooks > 1000 && lostAnswers > 700, startsMute + " started while mute, "
                 + rented + " rented, " + keptForNext + " reports kept for the next, " + closeLooks + " close looks, " + lostAnswers + " answers lost");
         assertTrue(gangsDone > 200 && savedOnce > 80, gangsDone + " gangs done, " + savedOnce + " tasks saved");
--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -7,6 +7,7 @@
 import io.kelphoist.core.Cluster;
 import io.kelphoist.core.Command;
 import io.kelphoist.core.Effects;
+import io.kelphoist.core.ElectionWorld;
 import io.kelphoist.core.ExitReason;
 import io.kelphoist.core.JobKind;
 import io.kelphoist.core.JobRecord;
@@ -325,6 +326,9 @@
         long watched;
         int heard;
         final long term;
+        /** The controller that leads; null: there are no elections in this world. */
+        final String node;
+        boolean loaded;
         final TakeOver takeOver;
         final Cluster cluster;
         final double beganAt = now;
@@ -334,16 +338,22 @@
         double silentUntil;
         double ledAfter = Double.NaN;
 
-        Leader(long term) {
+        Leader(long term, String node) {
             this.term = term;
+            this.node = node;
             takeOver = new TakeOver(term, 1.25 * REPORT_S, 1, questions, this::ask, now);
             Policy policy = new Policy(List.of("a"), List.of(team), REPORT_S, LEASE_S, GANG_PEER_S, 5, 1, 20, 15, 0, 1e6, 600, 0.01, 0.01, Map.of());
-            StateWorld.View view = state.seenBy(() -> refused && leads());
+            StateWorld.View view = state.seenBy(this::isRefused);
             store = new Store(view, committer(view), state, () -> 0, VALUE_BYTES, termRevision, () -> { }, () -> { });
             cluster = new Cluster(policy, this, OtherAnswers.NONE, takeOver, term, List.of(TYPE), now);
         }
 
+        private boolean isRefused() {
+            return node == null ? refused && leads() : elections.refused(node);
+        }
+
         void load() {
+            loaded = true;
             heard = words.size();
             store.load(cluster, records(), (peer, note) -> { });
             watched = state.revision();
@@ -385,6 +395,13 @@
             if (now < silentUntil || cluster.deposed() || !leads()) {
                 return;
             }
+            if (!loaded) {
+                if (!state.down && !isRefused()) {
+                    load();
+                    hint(this);
+                }
+                return;
+            }
             takeOver.run(cluster.machines(), now);
             cluster.tick(now);
             if (Double.isNaN(ledAfter) && cluster.recovered()) {
@@ -394,15 +411,15 @@
         }
 
         private boolean leads() {
-            return term == terms;
+            return node == null ? term == terms : elections.acts(node, term);
         }
 
         /** What is stored, by a watch; and what others told users, by their word, also while nothing can be read. */
         void learn() {
-            if (now < silentUntil || !leads()) {
+            if (now < silentUntil || !leads() || !loaded) {
                 return;
             }
-            if (!state.down && !refused && random.nextInt(4) == 0) {
+            if (!state.down && !isRefused() && random.nextInt(4) == 0) {
                 state.changes(Keys.JOBS, watched).forEach(item -> store.job(record(item)));
                 watched = state.revision();
             }
@@ -478,6 +495,12 @@
     private final Random random;
     private final int questions;
     private final Size size;
+    /** Who leads; null: one after the other, when a story says so. */
+    private final ElectionWorld elections;
+    /** Revisions at which terms were stored. */
+    private final Map<Long, Long> termRevisions = new HashMap<>();
+    /** What the next leader was told. */
+    private int hints;
     private final Team team;
     /** Of tasks that end by themselves, when: how long they run. */
     private final Map<String, Double> runs = new HashMap<>();
@@ -546,6 +569,12 @@
     }
 
     StandbyWorld(long seed, int questions, Size size) {
+        this(seed, questions, size, false);
+    }
+
+    /** @param elected three controllers elect who leads; else a story says it */
+    StandbyWorld(long seed, int questions, Size size, boolean elected) {
+        elections = elected ? new ElectionWorld(seed, new Terms()) : null;
         this.questions = questions;
         this.size = size;
         team = new Team("t", new Resources(1e6, size.limit / 2.0, 1e6), new Resources(1e6, size.limit, 1e6));
@@ -556,7 +585,7 @@
         state.limit(size.writeRps);
         for (int i = 0; i < 3; i++) {
             int number = i;
-            StateWorld.View view = state.seenBy(() -> refused && number == 0);
+            StateWorld.View view = state.seenBy(() -> elected ? elections.refused(ElectionWorld.NAMES.get(number)) : refused && number == 0);
             doors.add(new Admission(view, committer(view)::submit, state, () -> 0, new Types(), List.of(team), List.of("a"), 4, CANCEL_S,
                     this::told));
         }
@@ -572,11 +601,53 @@
             needs.put(spec.id(), needed);
             state.put(Keys.job(spec.id()), Records.job(spec, 0));
         }
-        takeOver(0);
+        if (!elected) {
+            takeOver(0);
+        }
+    }
+
+    private final class Terms implements ElectionWorld.Listener {
+        @Override
+        public void stored(String node, long term) {
+            termRevisions.put(term, state.put(Keys.TERM, Cbor.map().put("term", term)));
+        }
+
+        @Override
+        public void began(String node, long term) {
+            terms++;
+            termRevision = termRevisions.get(term);
+            leaders.add(new Leader(term, node));
+        }
+
+        @Override
+        public void ended(String node) {
+            leaders.stream().filter(l -> node.equals(l.node)).forEach(l -> l.store.close());
+        }
+    }
+
+    /** Who leads now; null: nobody. */
+    private Leader acting() {
+        return elections == null ? leaders.get(leaders.size() - 1) : leaders.stream().filter(Leader::leads).findFirst().orElse(null);
+    }
+
+    /** Messages between two controllers are held, one way. */
+    void link(int a, int b, boolean isCut) {
+        if (elections != null && a != b) {
+            elections.link(a, b, isCut);
+        }
     }
 
     /** @param hints 0: none, 1: what was told, 2: that with all kinds of mistakes */
     void takeOver(int hints) {
+        this.hints = hints;
+        if (elections != null) {
+            if (hints == 1) {
+                elections.resignLeader();
+            } else {
+                elections.crashLeader(hints == 0 ? 0.1 : 4);
+            }
+            return;
+        }
         if (state.down) {
             // Nobody can take the key.
             return;
@@ -584,8 +655,14 @@
         refused = false;
         terms++;
         termRevision = state.put(Keys.TERM, Cbor.map().put("term", terms));
-        Leader next = new Leader(terms);
+        Leader next = new Leader(terms, null);
         next.load();
+        leaders.add(next);
+        hint(next);
+    }
+
+    /** What it was told by the leader before; and the first reports that it sees. */
+    private void hint(Leader next) {
         if (hints > 0) {
             for (ToldMachine m : picture.machines()) {
                 if (hints == 1 || random.nextInt(4) > 0) {
@@ -597,8 +674,6 @@
             }
             next.takeOver.told(now);
         }
-        leaders.add(next);
-        // The first reports that a new leader sees.
         keptForNext += kept.size();
         kept.forEach(report -> next.cluster.onReport(report, "copy", now));
         kept.forEach(report -> reached(report.machine()));
@@ -644,7 +719,11 @@
 
     /** The leader stands still for a while, and goes on as if nothing had happened. */
     void freeze(double seconds) {
-        leaders.get(leaders.size() - 1).silentUntil = now + seconds;
+        if (elections != null) {
+            elections.freezeLeader(seconds);
+        } else {
+            leaders.get(leaders.size() - 1).silentUntil = now + seconds;
+        }
     }
 
     private static final class Types implements Admission.Knowledge {
@@ -712,6 +791,9 @@
     /** @param ten of ten transactions, of how many only the answer is lost */
     void lost(int ten) {
         state.lostShare = ten;
+        if (elections != null) {
+            elections.lost(ten);
+        }
     }
 
     void mute(int worker, boolean mute) {
@@ -728,10 +810,16 @@
 
     void outage(boolean down) {
         state.down = down;
+        if (elections != null) {
+            elections.outage(down);
+        }
     }
 
     void refuse(boolean leaderOnly) {
         refused = leaderOnly;
+        if (elections != null && leaderOnly) {
+            elections.refuseLeader();
+        }
     }
 
     /** How many transactions were carried out late, with their conditions met. */
@@ -893,6 +981,9 @@
         keepForNext(false);
         outage(false);
         refuse(false);
+        if (elections != null) {
+            elections.calm();
+        }
         calm = true;
         pass(45, 0);
         list();
@@ -926,7 +1017,10 @@
 
     /** Every machine is in use or will be returned, and every job is known to whoever asks twice, at any door. */
     private void known() {
-        Leader leader = leaders.get(leaders.size() - 1);
+        Leader leader = acting();
+        if (leader == null) {
+            throw new AssertionError("nobody leads when all is over: " + elections);
+        }
         for (Worker w : workers) {
             if (leader.cluster.machines().stream().noneMatch(m -> m.name.equals(w.name))) {
                 throw new AssertionError(w.name + " is paid for and not known when all is over");
@@ -955,6 +1049,10 @@
         }
     }
 
+    int terms() {
+        return (int) terms;
+    }
+
     /** How long the last leader took to its first decision, in seconds. */
     double lastLedAfter() {
         return leaders.get(leaders.size() - 1).ledAfter;
@@ -985,7 +1083,10 @@
 
     /** What the leader tells a follower, now and then lost. */
     void tell() {
-        Leader l = leaders.get(leaders.size() - 1);
+        Leader l = acting();
+        if (l == null) {
+            return;
+        }
         Telling.Message m = l.telling.next("f", now);
         if (random.nextInt(4) > 0) {
             picture.take(l.term, m, now);
@@ -995,14 +1096,20 @@
 
     void list() {
         List<CloudMachine> all = workers.stream().map(w -> new CloudMachine(w.name, w.address(), "m", "a", false, CloudMachine.CloudState.RUNNING, now)).toList();
-        leaders.get(leaders.size() - 1).listedAt = now;
-        leaders.get(leaders.size() - 1).cluster.onCloudList(List.of(new CloudPage("", true, all)), now);
+        Leader l = acting();
+        if (l != null && l.loaded) {
+            l.listedAt = now;
+            l.cluster.onCloudList(List.of(new CloudPage("", true, all)), now);
+        }
     }
 
     /** @param late how often, of ten, what is on its way to a worker is held back for another step */
     void pass(double seconds, int late) {
         for (double end = now + seconds; now < end;) {
             now += 0.1;
+            if (elections != null) {
+                elections.pass(0.1);
+            }
             workers.forEach(Worker::expire);
             List.copyOf(workers).stream().filter(w -> now >= w.takenAt).forEach(w -> replace(w.name));
             workers.forEach(Worker::run);
@@ -1029,8 +1136,8 @@
                 if (now >= c.at) {
                     copies.remove(c);
                     copied++;
-                    Leader to = leaders.get(leaders.size() - 1);
-                    if (now >= to.silentUntil && !to.cluster.deposed()) {
+                    Leader to = acting();
+                    if (to != null && to.loaded && now >= to.silentUntil && !to.cluster.deposed()) {
                         reached(c.report.machine());
                         to.cluster.onReport(c.report, "copy", now);
                     }
@@ -1050,12 +1157,20 @@
     }
 
     private void report(Worker w) {
-        Leader to = leaders.get(leaders.size() - 1);
-        if (now < to.silentUntil || to.cluster.deposed()) {
+        Leader to = acting();
+        if (to == null || now < to.silentUntil || to.cluster.deposed()) {
             return;
         }
         double sentAt = now;
         MachineReport report = w.report();
+        if (!to.loaded) {
+            // Its lease is kept, as Term.onlyLease does it; nothing is taken in.
+            boolean cancelled = report.tasks().stream().anyMatch(t -> words.contains(t.job()));
+            if (!w.mute && !w.deaf && !cancelled && w.obey(to.term, List.of())) {
+                w.leaseFrom = Math.max(w.leaseFrom, sentAt);
+            }
+            return;
+        }
         if (random.nextInt(8) == 0) {
             copies.add(new Copy(report, now + random.nextDouble() * 3 * LEASE_S));
         }
