Tidy: one stand-in for what a controller knows of machine types in three tests

UsersTest, FieldsTest and StandbyWorld each had their own, which did the same. UsersTest, FieldsTest, StreamTest and StandbyTest pass; no assertion, check or bound is touched.

--- a/src/test/java/io/kelphoist/admission/FieldsTest.java
+++ b/src/test/java/io/kelphoist/admission/FieldsTest.java
@@ -15,7 +15,6 @@
 import io.kelphoist.wire.Codec;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.Collection;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
@@ -28,18 +27,8 @@
              "spore":"i","image_gb":1.0,"hulls":null,"bed":null,"same_place":false,"scatter":false,"driftwood":false,"haul_s":60.0,
              "mooring_s":0.0,"stow_s":0.0,"landfall_s":null}""";
     private static final Resources ROOM = new Resources(8, 2, 64);
-
-    private static final class Types implements Admission.Knowledge {
-        @Override
-        public Collection<MachineType> types() {
-            return List.of(new MachineType("m", ROOM, 50, 1, 8, 3, 25, List.of("a", "b")), new MachineType("one-zone", ROOM, 50, 1, 8, 3, 25, List.of("a")));
-        }
-
-        @Override
-        public Admission.Counts counts(String job) {
-            return null;
-        }
-    }
+    private static final FixedTypes TYPES = new FixedTypes(List.of(new MachineType("m", ROOM, 50, 1, 8, 3, 25, List.of("a", "b")),
+            new MachineType("one-zone", ROOM, 50, 1, 8, 3, 25, List.of("a"))));
 
     private static void set(ObjectNode m, String field, String value) throws BadMessage {
         switch (value) {
@@ -73,7 +62,7 @@
 
     private static void check(ObjectNode sent, String field, String wanted) throws BadMessage {
         StateWorld world = new StateWorld(1, 0);
-        Admission admission = new Admission(world, new Committer(world, world, 1e6, 48)::submit, world, () -> 1, new Types(),
+        Admission admission = new Admission(world, new Committer(world, world, 1e6, 48)::submit, world, () -> 1, TYPES,
                 List.of(new Team("t", Resources.NONE, new Resources(1e9, 8, 1e9))), List.of("a", "b"), 4, 30, job -> { });
         Answer[] answer = new Answer[1];
         // As the door does it, with what comes over the wire.
--- a/src/test/java/io/kelphoist/admission/UsersTest.java
+++ b/src/test/java/io/kelphoist/admission/UsersTest.java
@@ -17,7 +17,6 @@
 import io.kelphoist.state.StateWorld;
 import io.kelphoist.wire.BadMessage;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -52,25 +51,13 @@
     private static int lost;
     private static int crossed;
 
-    private static final class Nothing implements Admission.Knowledge {
-        @Override
-        public Collection<MachineType> types() {
-            return List.of(TYPE);
-        }
-
-        @Override
-        public Admission.Counts counts(String job) {
-            return null;
-        }
-    }
-
     private final class Controller {
         final Set<String> noted = new HashSet<>();
         /** What it told of each job. */
         final Map<String, Answer.Phase> said = new HashMap<>();
         boolean refused;
         final StateWorld.View view = world.seenBy(() -> refused);
-        final Admission admission = new Admission(view, new Committer(view, world, 1e6, 48)::submit, world, () -> 1, new Nothing(), List.of(TEAM),
+        final Admission admission = new Admission(view, new Committer(view, world, 1e6, 48)::submit, world, () -> 1, new FixedTypes(List.of(TYPE)), List.of(TEAM),
                 List.of("a"), 4, CANCEL_S, this::tells);
 
         private void tells(JobRecord record) {
--- a/src/test/java/io/kelphoist/standby/StandbyWorld.java
+++ b/src/test/java/io/kelphoist/standby/StandbyWorld.java
@@ -2,6 +2,7 @@
 
 import io.kelphoist.admission.Admission;
 import io.kelphoist.admission.Answer;
+import io.kelphoist.admission.FixedTypes;
 import io.kelphoist.core.CloudMachine;
 import io.kelphoist.core.CloudPage;
 import io.kelphoist.core.Cluster;
@@ -35,7 +36,6 @@
 import io.kelphoist.wire.BadMessage;
 import io.kelphoist.wire.Cbor;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -586,7 +586,7 @@
         for (int i = 0; i < 3; i++) {
             int number = i;
             StateWorld.View view = state.seenBy(() -> elected ? elections.refused(ElectionWorld.NAMES.get(number)) : refused && number == 0);
-            doors.add(new Admission(view, committer(view)::submit, state, () -> 0, new Types(), List.of(team), List.of("a"), 4, CANCEL_S,
+            doors.add(new Admission(view, committer(view)::submit, state, () -> 0, new FixedTypes(List.of(TYPE)), List.of(team), List.of("a"), 4, CANCEL_S,
                     this::told));
         }
         for (int i = 0; i < size.workers; i++) {
@@ -726,18 +726,6 @@
         }
     }
 
-    private static final class Types implements Admission.Knowledge {
-        @Override
-        public Collection<MachineType> types() {
-            return List.of(TYPE);
-        }
-
-        @Override
-        public Admission.Counts counts(String job) {
-            return null;
-        }
-    }
-
     private static JobRecord record(StateWorld.Item item) {
         try {
             return Records.job(item.key(), item.value(), item.revision());
