Refused bodies: the response arrives before the connection ends

What callers saw: a request whose body exceeds the limit sometimes ended in a broken connection in place of its status 400, and the client tried again.

Cause: after a response with "Connection: close" Undertow ends its output and closes the connection at the first byte that it still reads. Closing with unread bytes resets the connection; a client that is still writing fails, and may give up before it reads the response.

Change: RefusedRequests responds at once, discards the rest of the body within bounds in bytes, time and requests at once, and lets the connection end after it; cut-offs are counted. RequestBodyReceiver stops reading a body without a stated length at the limit, where it was collected in memory to its end. Undertow's own limit of 2 MiB, which reset connections in the same way and refused messages between controllers from 2 MiB on, is off. Unknown paths, wrong methods and GETs with a body have the same bounds. Metric names: one added.

--- a/src/main/java/io/kelphoist/archive/ClassArchiveTrainingServer.java
+++ b/src/main/java/io/kelphoist/archive/ClassArchiveTrainingServer.java
@@ -6,6 +6,8 @@
 import io.kelphoist.wire.HttpExchanges;
 import io.kelphoist.wire.MalformedMessageException;
 import io.kelphoist.wire.MessageEncoding;
+import io.kelphoist.wire.RefusedRequests;
+import io.kelphoist.wire.RequestBodyReceiver;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Methods;
@@ -53,6 +55,8 @@
 
     private final int port;
     private final Undertow server;
+    private final RequestBodyReceiver requestBodies =
+            new RequestBodyReceiver(new RefusedRequests(RefusedRequests.Limits.DEFAULT, () -> {}));
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Change> changes = new ArrayList<>();
     private final Map<String, ObjectNode> machines = new TreeMap<>();
@@ -61,7 +65,10 @@
     /** Starts the server on a loopback port. */
     ClassArchiveTrainingServer(int port) {
         this.port = port;
-        server = Undertow.builder().addHttpListener(port, "127.0.0.1", this::handle).build();
+        server =
+                RequestBodyReceiver.newServerBuilder()
+                        .addHttpListener(port, "127.0.0.1", this::handle)
+                        .build();
         server.start();
     }
 
@@ -75,7 +82,7 @@
         if (!exchange.getRequestMethod().equals(Methods.POST)) {
             HttpExchanges.dispatch(exchange, () -> handleGet(exchange, path));
         } else if (path.startsWith("/peer/")) {
-            HttpExchanges.receiveBody(
+            requestBodies.receive(
                     exchange,
                     MAX_BODY_BYTES,
                     (ex, body) ->
@@ -86,7 +93,7 @@
                                             .put("granted", true)
                                             .put("state_ok", true)));
         } else {
-            HttpExchanges.receiveBody(
+            requestBodies.receive(
                     exchange,
                     MAX_BODY_BYTES,
                     (ex, body) -> {
--- a/src/main/java/io/kelphoist/controller/ControllerMetrics.java
+++ b/src/main/java/io/kelphoist/controller/ControllerMetrics.java
@@ -97,6 +97,10 @@
                 "kelphoist.errors.unexpected",
                 "Tasks of the event loop that failed with an unhandled exception",
                 ControllerCounters::unexpectedErrors);
+        registerCounter(
+                "kelphoist.requests.cut.off",
+                "Refused requests whose connections were closed before their bodies were read",
+                ControllerCounters::refusedRequestsCutOff);
     }
 
     private void registerUserMetrics() {
--- a/src/main/java/io/kelphoist/controller/ControllerProcess.java
+++ b/src/main/java/io/kelphoist/controller/ControllerProcess.java
@@ -6,6 +6,7 @@
 import io.kelphoist.sockets.SocketBudget;
 import io.kelphoist.trace.JobTracer;
 import io.kelphoist.trace.SpanProcessors;
+import io.kelphoist.wire.RequestBodyReceiver;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
@@ -174,7 +175,7 @@
         int maxIncoming = socketBudget.maxIncomingConnections();
         int resumeAcceptingBelow =
                 Math.max(1, maxIncoming - maxIncoming / CONNECTION_HYSTERESIS_DIVISOR);
-        return Undertow.builder()
+        return RequestBodyReceiver.newServerBuilder()
                 .setWorker(worker)
                 .setByteBufferPool(bufferPool)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
--- a/src/main/java/io/kelphoist/controller/PeerRoutes.java
+++ b/src/main/java/io/kelphoist/controller/PeerRoutes.java
@@ -7,6 +7,8 @@
 import io.kelphoist.peer.TaskEventCodec;
 import io.kelphoist.wire.HttpExchanges;
 import io.kelphoist.wire.MalformedMessageException;
+import io.kelphoist.wire.RefusedRequests;
+import io.kelphoist.wire.RequestBodyReceiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
@@ -27,9 +29,15 @@
     }
 
     private final ControllerComponents components;
+    private final RequestBodyReceiver requestBodies;
 
     PeerRoutes(ControllerComponents components) {
         this.components = components;
+        this.requestBodies =
+                new RequestBodyReceiver(
+                        new RefusedRequests(
+                                RefusedRequests.Limits.DEFAULT,
+                                components.counters()::onRefusedRequestCutOff));
     }
 
     @Override
@@ -39,16 +47,22 @@
             case PeerPaths.HANDOVER -> receiveMessage(exchange, this::onHandover);
             case PeerPaths.EVENTS -> receiveMessage(exchange, this::onEventsRequest);
             case PeerPaths.HEARTBEAT ->
-                    HttpExchanges.receiveBody(
+                    requestBodies.receive(
                             exchange,
                             MAX_BODY_BYTES,
                             components.heartbeatEndpoint()::handleRelayed);
-            default -> HttpExchanges.sendStatus(exchange, StatusCodes.NOT_FOUND);
+            default ->
+                    requestBodies.receive(
+                            exchange,
+                            MAX_BODY_BYTES,
+                            StatusCodes.NOT_FOUND,
+                            (received, body) ->
+                                    HttpExchanges.sendStatus(received, StatusCodes.NOT_FOUND));
         }
     }
 
     private void receiveMessage(HttpServerExchange exchange, MessageHandler handler) {
-        HttpExchanges.receiveBody(
+        requestBodies.receive(
                 exchange, MAX_BODY_BYTES, (received, body) -> respond(received, body, handler));
     }
 
--- a/src/main/java/io/kelphoist/controller/PublicRoutes.java
+++ b/src/main/java/io/kelphoist/controller/PublicRoutes.java
@@ -2,9 +2,12 @@
 
 import io.kelphoist.api.HttpJobApi;
 import io.kelphoist.wire.HttpExchanges;
+import io.kelphoist.wire.RefusedRequests;
+import io.kelphoist.wire.RequestBodyReceiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 
 /** The HTTP routes for workers, users and operators. Runs on the event loop. */
 final class PublicRoutes implements HttpHandler {
@@ -21,6 +24,7 @@
     private final Controller controller;
     private final ControllerComponents components;
     private final HttpJobApi jobApi;
+    private final RequestBodyReceiver requestBodies;
 
     /** Null until the first scrape: a controller that is not scraped needs no metrics registry. */
     private ControllerMetrics metrics;
@@ -29,6 +33,11 @@
         this.controller = controller;
         this.components = controller.components();
         this.jobApi = new HttpJobApi(components.admission());
+        this.requestBodies =
+                new RequestBodyReceiver(
+                        new RefusedRequests(
+                                RefusedRequests.Limits.DEFAULT,
+                                components.counters()::onRefusedRequestCutOff));
     }
 
     @Override
@@ -42,28 +51,41 @@
         } else if (path.startsWith(JOB_PREFIX)) {
             handleJobRequest(exchange, path.substring(JOB_PREFIX.length()), method);
         } else if (path.equals(HEALTH_PATH) && method.equals(GET)) {
-            HttpExchanges.sendStatus(exchange, controller.isHealthy() ? 200 : 503);
+            receiveBody(exchange, (received, body) -> sendHealth(received));
         } else if (path.equals(METRICS_PATH) && method.equals(GET)) {
-            sendMetrics(exchange);
+            receiveBody(exchange, (received, body) -> sendMetrics(received));
         } else {
-            HttpExchanges.sendStatus(exchange, 404);
+            sendAfterBody(exchange, StatusCodes.NOT_FOUND);
         }
     }
 
     private void handleJobRequest(HttpServerExchange exchange, String pathRest, String method) {
         if (method.equals(GET)) {
-            HttpExchanges.dispatch(exchange, () -> jobApi.query(exchange, pathRest));
+            receiveBody(exchange, (received, body) -> jobApi.query(received, pathRest));
         } else if (method.equals(POST) && pathRest.endsWith(CANCEL_SUFFIX)) {
             String jobId = pathRest.substring(0, pathRest.length() - CANCEL_SUFFIX.length());
             receiveBody(exchange, (received, body) -> jobApi.cancel(received, jobId));
         } else {
-            HttpExchanges.sendStatus(exchange, 405);
+            sendAfterBody(exchange, StatusCodes.METHOD_NOT_ALLOWED);
         }
     }
 
-    private static void receiveBody(
-            HttpServerExchange exchange, HttpExchanges.BodyHandler handler) {
-        HttpExchanges.receiveBody(exchange, HttpExchanges.MAX_REQUEST_BYTES, handler);
+    private void receiveBody(HttpServerExchange exchange, RequestBodyReceiver.BodyHandler handler) {
+        requestBodies.receive(exchange, HttpExchanges.MAX_REQUEST_BYTES, handler);
+    }
+
+    /** Responds with a status that does not depend on the request's body. */
+    private void sendAfterBody(HttpServerExchange exchange, int status) {
+        requestBodies.receive(
+                exchange,
+                HttpExchanges.MAX_REQUEST_BYTES,
+                status,
+                (received, body) -> HttpExchanges.sendStatus(received, status));
+    }
+
+    private void sendHealth(HttpServerExchange exchange) {
+        int status = controller.isHealthy() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE;
+        HttpExchanges.sendStatus(exchange, status);
     }
 
     private void sendMetrics(HttpServerExchange exchange) {
--- a/src/main/java/io/kelphoist/metrics/ControllerCounters.java
+++ b/src/main/java/io/kelphoist/metrics/ControllerCounters.java
@@ -18,6 +18,7 @@
     private volatile long reachabilityProbes;
     private volatile long malformedMessages;
     private volatile long unexpectedErrors;
+    private volatile long refusedRequestsCutOff;
     private volatile long decisions;
     private volatile double decisionSeconds;
     private volatile double heartbeatSeconds;
@@ -78,6 +79,11 @@
         unexpectedErrors++;
     }
 
+    /** Counts a refused request whose connection is closed before its body was discarded. */
+    public void onRefusedRequestCutOff() {
+        refusedRequestsCutOff++;
+    }
+
     /**
      * Counts a scheduling decision of the leader.
      *
@@ -152,6 +158,11 @@
         return unexpectedErrors;
     }
 
+    /** Number of refused requests whose connections were closed at a bound. */
+    public long refusedRequestsCutOff() {
+        return refusedRequestsCutOff;
+    }
+
     /** Number of scheduling decisions. */
     public long decisions() {
         return decisions;
--- a/src/main/java/io/kelphoist/wire/HttpExchanges.java
+++ b/src/main/java/io/kelphoist/wire/HttpExchanges.java
@@ -7,7 +7,7 @@
 import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
 
-/** Reads requests that the controller serves, and responds to them. Runs on the I/O thread. */
+/** Responds to requests that the controller serves. Runs on the I/O thread. */
 public final class HttpExchanges {
     /** Content type of messages to and from users, workers and the cloud. */
     public static final String CBOR = "application/cbor";
@@ -18,48 +18,8 @@
     /** Maximum size of the body of a user's or a worker's request. */
     public static final int MAX_REQUEST_BYTES = 64 * 1024;
 
-    /** Handles a request whose body was read completely. */
-    public interface BodyHandler {
-        /** Responds to the request, possibly after the call has returned. */
-        void handle(HttpServerExchange exchange, byte[] body);
-    }
-
     private HttpExchanges() {}
 
-    /**
-     * Reads a request's body and passes it to the handler. If the body exceeds the limit or can't
-     * be read, responds with status 400 (bad request) and, unless the whole body was read, closes
-     * the connection.
-     */
-    public static void receiveBody(HttpServerExchange exchange, int maxBytes, BodyHandler handler) {
-        if (exchange.getRequestContentLength() > maxBytes) {
-            closeWithBadRequest(exchange);
-            return;
-        }
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (received, body) ->
-                                dispatch(
-                                        received,
-                                        () -> handleBody(received, body, maxBytes, handler)),
-                        (received, error) ->
-                                dispatch(received, () -> closeWithBadRequest(received)));
-    }
-
-    private static void handleBody(
-            HttpServerExchange exchange, byte[] body, int maxBytes, BodyHandler handler) {
-        if (body.length > maxBytes) {
-            sendStatus(exchange, StatusCodes.BAD_REQUEST);
-        } else {
-            handler.handle(exchange, body);
-        }
-    }
-
-    private static void closeWithBadRequest(HttpServerExchange exchange) {
-        exchange.setPersistent(false);
-        sendStatus(exchange, StatusCodes.BAD_REQUEST);
-    }
-
     /**
      * Runs a task on the current thread after the current call of the exchange's handler has
      * returned; the exchange stays open until it is responded to.
