Team limit: a job that waits too long at the limit is next

Cause: within a team the allocator orders by priority before age, and what a gang still needs of the limit is kept for it. As long as gangs keep coming, no array starts.

Change: LimitWait. A job below production that the limit refused and that has started nothing for 90 s precedes all others of its team below production, the longest wait first, one start a turn; room for its next start is kept from the rest; preemption for its own team does not take back what it started in its turn, except for production.

--- a/src/main/java/io/kelphoist/scheduler/allocation/Allocator.java
+++ b/src/main/java/io/kelphoist/scheduler/allocation/Allocator.java
@@ -2,10 +2,12 @@
 
 import io.kelphoist.model.JobKind;
 import io.kelphoist.model.MachineType;
+import io.kelphoist.model.Priority;
 import io.kelphoist.model.Resources;
 import io.kelphoist.model.SchedulingPolicy;
 import io.kelphoist.scheduler.cluster.Job;
 import io.kelphoist.scheduler.cluster.JobRegistry;
+import io.kelphoist.scheduler.cluster.LimitWait;
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.cluster.MachineRegistry;
 import io.kelphoist.scheduler.cluster.TeamUsage;
@@ -37,13 +39,16 @@
     private static final int MAX_STARTS_PER_RUN = 200;
 
     /**
-     * Most urgent first: higher priority, then {@link Job#isAged aged} jobs before others, then the
-     * earlier {@link Job#latestFinishAtSeconds}, then the earlier time at which the job was ready
-     * to start.
+     * Most urgent first: production priority; then the jobs that are overdue at their team's limit
+     * ({@link LimitWait}), by the length of their waits; then higher priority, then {@link
+     * Job#isAged aged} jobs before others, then the earlier {@link Job#latestFinishAtSeconds}, then
+     * the earlier time at which the job was ready to start.
      */
     static final Comparator<Job> URGENCY_ORDER =
-            Comparator.comparing(Job::priority)
-                    .reversed()
+            Comparator.comparing((Job job) -> job.priority() != Priority.PRODUCTION)
+                    .thenComparing(job -> !limitWait(job).isOverdue())
+                    .thenComparingDouble(Allocator::overdueSinceSeconds)
+                    .thenComparing(Job::priority, Comparator.reverseOrder())
                     .thenComparing(job -> !job.isAged())
                     .thenComparingDouble(Job::latestFinishAtSeconds)
                     .thenComparingDouble(Job::readyAtSeconds);
@@ -267,14 +272,25 @@
      * limit until all teams have been offered resources. Otherwise, tasks of lower priority could
      * start within the limit, and would be preempted again for that job. Does nothing for a service
      * of which a replica has run, and for a gang of which a task has run in its current attempt.
+     * The same holds for one task of an array that is overdue: it is next for what becomes free.
      */
     private static void reserveForUrgentJob(Job job) {
-        if (job.spec().kind() != JobKind.ARRAY && !job.hasRun()) {
+        if (limitWait(job).isOverdue() && job.spec().kind() == JobKind.ARRAY) {
+            job.team().reserveForUrgentJob(job.spec().resourcesPerTask());
+        } else if (job.spec().kind() != JobKind.ARRAY && !job.hasRun()) {
             Resources demand = job.spec().resourcesPerTask().times(job.tasks().pendingCount());
             job.team().reserveForUrgentJob(demand);
         }
     }
 
+    private static LimitWait limitWait(Job job) {
+        return job.capacityAcquisition().limitWait();
+    }
+
+    private static double overdueSinceSeconds(Job job) {
+        return limitWait(job).isOverdue() ? limitWait(job).waitingSinceSeconds() : 0;
+    }
+
     /**
      * Sums machine capacities. Consecutive machines of the same type are counted, and their
      * capacity is added in one step.
--- a/src/main/java/io/kelphoist/scheduler/allocation/GangScheduler.java
+++ b/src/main/java/io/kelphoist/scheduler/allocation/GangScheduler.java
@@ -37,6 +37,7 @@
         }
         reservations.release(job);
         if (!job.team().isWithinLimit(job.spec().resourcesPerTask().times(job.spec().tasks()))) {
+            job.capacityAcquisition().limitWait().onRefused();
             return false;
         }
         List<Machine> taskMachines =
--- a/src/main/java/io/kelphoist/scheduler/allocation/IndependentTaskScheduler.java
+++ b/src/main/java/io/kelphoist/scheduler/allocation/IndependentTaskScheduler.java
@@ -16,9 +16,11 @@
     @Override
     public final boolean tryStart(ResourceOffer offer, Job job) {
         int task = job.tasks().firstPending();
-        if (task < 0
-                || job.isOnTrial(offer.nowSeconds())
-                || !job.team().isWithinLimit(job.spec().resourcesPerTask())) {
+        if (task < 0 || job.isOnTrial(offer.nowSeconds())) {
+            return false;
+        }
+        if (!job.team().isWithinLimit(job.spec().resourcesPerTask())) {
+            job.capacityAcquisition().limitWait().onRefused();
             return false;
         }
         Machine machine = offer.candidates().findBest(offer, job);
--- a/src/main/java/io/kelphoist/scheduler/cluster/CapacityAcquisition.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/CapacityAcquisition.java
@@ -23,6 +23,7 @@
     private double preemptionCheckedAtSeconds = Double.NEGATIVE_INFINITY;
     private boolean preemptionFeasible;
     private double noOwnTeamPreemptionBeforeSeconds;
+    private final LimitWait limitWait = new LimitWait();
 
     /**
      * Whether, in the current run of the allocator, a possible placement of a job array was
@@ -43,6 +44,11 @@
         placementDeclinedAtSeconds = nowSeconds;
     }
 
+    /** How long the job has waited for its team's limit. */
+    public LimitWait limitWait() {
+        return limitWait;
+    }
+
     // ---- reserved capacity ----
 
     /**
--- a/src/main/java/io/kelphoist/scheduler/cluster/Job.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/Job.java
@@ -59,7 +59,6 @@
     /** Number of dependencies for which no record as done was received. */
     private int unmetDependencyCount;
 
-    /** See {@link #waitingSinceSeconds()}. */
     private double waitingSinceSeconds;
 
     private boolean aged;
@@ -286,6 +285,7 @@
     public void updateWaiting(double nowSeconds) {
         aged = !hasBegun() && nowSeconds > readyAtSeconds + AGED_AFTER_SECONDS;
         failures.updateAvoidance(nowSeconds);
+        capacityAcquisition.limitWait().update(priority(), readyAtSeconds, nowSeconds);
     }
 
     /** Whether a task of it may be on a machine, has run or is done. */
--- a/src/main/java/io/kelphoist/scheduler/cluster/TaskAttempt.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/TaskAttempt.java
@@ -77,6 +77,8 @@
     /** It is charged to the machine, the team's quota and the job's zones. */
     private boolean allocated;
 
+    private boolean startedWhenOverdue;
+
     /**
      * Creates an attempt in state {@link State#STARTING}.
      *
@@ -225,6 +227,16 @@
         return !Double.isNaN(runningSinceSeconds);
     }
 
+    /** Whether it was started because its job was overdue at its team's limit. */
+    public boolean startedWhenOverdue() {
+        return startedWhenOverdue;
+    }
+
+    /** Marks it as started because its job was overdue at its team's limit. */
+    public void markStartedWhenOverdue() {
+        startedWhenOverdue = true;
+    }
+
     // ---- accounting ----
 
     /** Whether it is charged to the machine, the team's quota and the job's zones. */
--- a/src/main/java/io/kelphoist/scheduler/lifecycle/AttemptLifecycle.java
+++ b/src/main/java/io/kelphoist/scheduler/lifecycle/AttemptLifecycle.java
@@ -71,6 +71,9 @@
         TaskAttempt attempt =
                 new TaskAttempt(
                         job, taskIndex, attemptId, machine, machine.agentEpoch(), nowSeconds);
+        if (job.capacityAcquisition().limitWait().isOverdue()) {
+            attempt.markStartedWhenOverdue();
+        }
         machine.addAttempt(attempt);
         allocate(attempt);
         startIntentLog.add(attempt);
@@ -99,6 +102,7 @@
         attempt.machine().resources().allocate(job.spec().resourcesPerTask());
         job.team().allocate(job.spec().resourcesPerTask());
         job.addAttempt(attempt);
+        job.capacityAcquisition().limitWait().onTaskStarted(attempt.createdAtSeconds());
     }
 
     /**
--- a/src/main/java/io/kelphoist/scheduler/preemption/PreemptionSearch.java
+++ b/src/main/java/io/kelphoist/scheduler/preemption/PreemptionSearch.java
@@ -1,6 +1,7 @@
 package io.kelphoist.scheduler.preemption;
 
 import io.kelphoist.model.JobKind;
+import io.kelphoist.model.Priority;
 import io.kelphoist.model.Resources;
 import io.kelphoist.scheduler.cluster.Job;
 import io.kelphoist.scheduler.cluster.Machine;
@@ -170,6 +171,11 @@
         if (attemptJob.spec().kind() == JobKind.SERVICE) {
             return false;
         }
+        if (attemptJob.team() == job.team()
+                && attempt.startedWhenOverdue()
+                && job.priority() != Priority.PRODUCTION) {
+            return false;
+        }
         if (attemptJob.priority().compareTo(job.priority()) < 0) {
             return true;
         }
--- a/src/main/java/io/kelphoist/scheduler/preemption/Preemptor.java
+++ b/src/main/java/io/kelphoist/scheduler/preemption/Preemptor.java
@@ -150,7 +150,9 @@
                 if (attempt.isStopping()) {
                     freed = freed.plus(attempt.job().spec().resourcesPerTask());
                 } else if (attempt.job().spec().kind() == JobKind.ARRAY
-                        && attempt.job().priority().compareTo(job.priority()) < 0) {
+                        && attempt.job().priority().compareTo(job.priority()) < 0
+                        && (!attempt.startedWhenOverdue()
+                                || job.priority() == Priority.PRODUCTION)) {
                     preemptible.add(attempt);
                 }
             }
