Preemptor: what the limit keeps for urgent jobs is kept there too

What callers saw: tasks of another team were stopped for an array that its own team's limit did not let start; the gang that the limit was kept for could not use the room either, and the logged reason was wrong.

Cause: the allocator cleared what it keeps of a team's limit for gangs and services that do not fit before the preemptor ran.

Evidence: scenario array-behind-gang-at-team-limit-preempts-nothing; on the sources before it ends with "stop job-2/0".

Change: LimitReservations is used by both, in the same order of jobs. Whether a job's own team must give up arrays is asked without these amounts, as before.

Result: the scenario failed before and passes; all scenarios and TeamLimitTest pass.

--- a/src/main/java/io/kelphoist/scheduler/allocation/Allocator.java
+++ b/src/main/java/io/kelphoist/scheduler/allocation/Allocator.java
@@ -7,6 +7,7 @@
 import io.kelphoist.model.SchedulingPolicy;
 import io.kelphoist.scheduler.cluster.Job;
 import io.kelphoist.scheduler.cluster.JobRegistry;
+import io.kelphoist.scheduler.cluster.LimitReservations;
 import io.kelphoist.scheduler.cluster.LimitWait;
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.cluster.MachineRegistry;
@@ -262,27 +263,11 @@
                 return true;
             }
             unplaced.add(job);
-            reserveForUrgentJob(job);
+            LimitReservations.reserveFor(job);
         }
         return false;
     }
 
-    /**
-     * Charges the resources for the pending tasks of an unplaced gang or service to the team's
-     * limit until all teams have been offered resources. Otherwise, tasks of lower priority could
-     * start within the limit, and would be preempted again for that job. Does nothing for a service
-     * of which a replica has run, and for a gang of which a task has run in its current attempt.
-     * The same holds for one task of an array that is overdue: it is next for what becomes free.
-     */
-    private static void reserveForUrgentJob(Job job) {
-        if (limitWait(job).isOverdue() && job.spec().kind() == JobKind.ARRAY) {
-            job.team().reserveForUrgentJob(job.spec().resourcesPerTask());
-        } else if (job.spec().kind() != JobKind.ARRAY && !job.hasRun()) {
-            Resources demand = job.spec().resourcesPerTask().times(job.tasks().pendingCount());
-            job.team().reserveForUrgentJob(demand);
-        }
-    }
-
     private static LimitWait limitWait(Job job) {
         return job.capacityAcquisition().limitWait();
     }
--- a/src/main/java/io/kelphoist/scheduler/cluster/TeamUsage.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/TeamUsage.java
@@ -80,10 +80,15 @@
 
     /** Whether the limit allows these resources in addition to all that is used and reserved. */
     public boolean isWithinLimit(Resources additional) {
-        return used.plus(reservedForGangs)
-                .plus(reservedForUrgentJobs)
-                .plus(additional)
-                .fitsIn(team.limit());
+        return isWithinLimitWithoutUrgentReservations(reservedForUrgentJobs.plus(additional));
+    }
+
+    /**
+     * Whether the limit allows these resources in addition to what is used and reserved for gangs,
+     * whatever is reserved for urgent jobs.
+     */
+    public boolean isWithinLimitWithoutUrgentReservations(Resources additional) {
+        return used.plus(reservedForGangs).plus(additional).fitsIn(team.limit());
     }
 
     /** Number of tasks of this size that the limit allows in addition, at most {@code maxTasks}. */
--- a/src/main/java/io/kelphoist/scheduler/preemption/Preemptor.java
+++ b/src/main/java/io/kelphoist/scheduler/preemption/Preemptor.java
@@ -5,6 +5,7 @@
 import io.kelphoist.model.Resources;
 import io.kelphoist.model.SchedulingPolicy;
 import io.kelphoist.scheduler.cluster.Job;
+import io.kelphoist.scheduler.cluster.LimitReservations;
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.cluster.MachineCatalog;
 import io.kelphoist.scheduler.cluster.MachineRegistry;
@@ -93,18 +94,28 @@
         int searchCount = 0;
         for (Job job : unplacedJobs) {
             if (holdCount >= MAX_HOLDS_PER_RUN || searchCount >= MAX_SEARCHES_PER_RUN) {
-                return;
+                break;
             }
-            if (!mayPreempt(job, nowSeconds)) {
-                continue;
-            }
-            if (!job.team().isWithinLimit(PreemptionSearch.minimumDemand(job))) {
-                preemptWithinTeamIfDue(job, nowSeconds);
-            } else if (!job.capacityAcquisition().hasHeldMachines()) {
-                searchCount++;
-                holdCount += holdMachines(job, nowSeconds) ? 1 : 0;
+            if (mayPreempt(job, nowSeconds)) {
+                if (mayHoldMachines(job)) {
+                    searchCount++;
+                    holdCount += holdMachines(job, nowSeconds) ? 1 : 0;
+                } else {
+                    preemptWithinTeamIfDue(job, nowSeconds);
+                }
             }
+            LimitReservations.reserveFor(job);
         }
+        unplacedJobs.forEach(job -> job.team().clearUrgentReservations());
+    }
+
+    /**
+     * Whether the job fits in its team's limit, less what is kept for the more urgent jobs of the
+     * team, and no machine is held for it.
+     */
+    private static boolean mayHoldMachines(Job job) {
+        return job.team().isWithinLimit(PreemptionSearch.minimumDemand(job))
+                && !job.capacityAcquisition().hasHeldMachines();
     }
 
     /**
@@ -127,7 +138,12 @@
     }
 
     private void preemptWithinTeamIfDue(Job job, double nowSeconds) {
-        if (nowSeconds >= job.capacityAcquisition().noOwnTeamPreemptionBeforeSeconds()) {
+        boolean exceedsLimit =
+                !job.team()
+                        .isWithinLimitWithoutUrgentReservations(
+                                PreemptionSearch.minimumDemand(job));
+        if (exceedsLimit
+                && nowSeconds >= job.capacityAcquisition().noOwnTeamPreemptionBeforeSeconds()) {
             job.capacityAcquisition()
                     .postponeOwnTeamPreemption(nowSeconds + TEAM_PREEMPTION_INTERVAL_SECONDS);
             preemptWithinTeam(job, nowSeconds);
@@ -176,13 +192,15 @@
         Resources freedWithVictims = freed;
         List<TaskAttempt> victims = new ArrayList<>();
         for (TaskAttempt attempt : preemptible) {
-            if (job.team().isWithinLimit(demand.minus(freedWithVictims))) {
+            if (job.team().isWithinLimitWithoutUrgentReservations(demand.minus(freedWithVictims))) {
                 return victims;
             }
             victims.add(attempt);
             freedWithVictims = freedWithVictims.plus(attempt.job().spec().resourcesPerTask());
         }
-        return job.team().isWithinLimit(demand.minus(freedWithVictims)) ? victims : List.of();
+        return job.team().isWithinLimitWithoutUrgentReservations(demand.minus(freedWithVictims))
+                ? victims
+                : List.of();
     }
 
     /**
