Election: a last term that was not read is not "none"

Cause: LeaderElector passed 0 as the last term of such a key, which the election took as "before the first term", where no grant has to be waited for.

Evidence: LastTermTest acquires while a grant of the controller is valid on the sources before.

Change: the acquisition passes all keys that it read; the election counts any term known from a key, a grant or a handover as an earlier one.

--- a/src/main/java/io/kelphoist/election/Election.java
+++ b/src/main/java/io/kelphoist/election/Election.java
@@ -116,7 +116,7 @@
     private String leader;
     private long leaderTerm;
 
-    /** False if the last key read had no last term: before the first term there are no grants. */
+    /** False if the keys were read and no term is known: before the first there are no grants. */
     private boolean hasEarlierTerm = true;
 
     /** The result of {@link #isLeader} at the last tick as the leader. */
@@ -189,8 +189,8 @@
      * Called with the leader key as read from the state store.
      *
      * @param holder the controller that holds the key; null, with {@code holderTerm} 0, if absent
-     * @param lastTerm the newest stored term; 0 if there is none or the term key was not read, and
-     *     a candidate then does not wait until its given grants have expired
+     * @param lastTerm the newest stored term; 0 if there is none. Before the first term of which
+     *     this controller knows, a candidate does not wait until its given grants have expired
      */
     public void onLeaderKeyRead(String holder, long holderTerm, long lastTerm, double nowSeconds) {
         leaderKeyLoaded = true;
@@ -200,7 +200,7 @@
         leader = holder;
         leaderTerm = holderTerm;
         newestTerm = Math.max(newestTerm, Math.max(holderTerm, lastTerm));
-        hasEarlierTerm = lastTerm > 0;
+        hasEarlierTerm = newestTerm > 0;
         if (state == State.LEADER
                 && (holder == null || !holder.equals(self) || holderTerm != term)) {
             LOG.info("leader key lost: term={} holder={} holderTerm={}", term, holder, holderTerm);
--- a/src/main/java/io/kelphoist/leadership/LeaderElector.java
+++ b/src/main/java/io/kelphoist/leadership/LeaderElector.java
@@ -105,12 +105,6 @@
      */
     private static final double READ_AFTER_RELEASE_SECONDS = 0.3;
 
-    /**
-     * Passed to the election as the last term if an acquisition finds the leader key held: the
-     * acquisition then reports the leader key only, not the term key.
-     */
-    private static final long NO_LAST_TERM = 0;
-
     private final String controllerName;
     private final StateStoreClient stateClient;
     private final GrantClient grantClient;
@@ -216,6 +210,10 @@
 
     private void onKeysRead(LeadershipKeys keys) {
         acquisition.revokePreviousLease(keys, keyWatcher::read);
+        passToElection(keys);
+    }
+
+    private void passToElection(LeadershipKeys keys) {
         election.onLeaderKeyRead(
                 keys.leader().map(LeaderRecord::controllerName).orElse(null),
                 keys.leader().map(LeaderRecord::term).orElse(0L),
@@ -232,9 +230,8 @@
         }
 
         @Override
-        public void onLeaderKeyHeld(LeaderRecord leader) {
-            election.onLeaderKeyRead(
-                    leader.controllerName(), leader.term(), NO_LAST_TERM, eventLoop.nowSeconds());
+        public void onLeaderKeyHeld(LeadershipKeys keys) {
+            passToElection(keys);
         }
 
         @Override
--- a/src/main/java/io/kelphoist/leadership/LeadershipAcquisition.java
+++ b/src/main/java/io/kelphoist/leadership/LeadershipAcquisition.java
@@ -33,7 +33,7 @@
          * The leader key exists already. It names another controller, or this one if it is still
          * attached to the lease of an earlier attempt or process. Followed by {@link #onFailed}.
          */
-        void onLeaderKeyHeld(LeaderRecord leader);
+        void onLeaderKeyHeld(LeadershipKeys keys);
 
         /**
          * The attempt has failed. If it received a lease, the revocation of that lease has been
@@ -105,7 +105,7 @@
                     }
                     LeadershipKeys keys = LeadershipKeys.of(snapshot.get());
                     if (keys.leader().isPresent()) {
-                        listener.onLeaderKeyHeld(keys.leader().get());
+                        listener.onLeaderKeyHeld(keys);
                         abandon(leaseId);
                         return;
                     }
