Delegation: a renewal counts until its lease ends

Cause: when a peer's newest renewal advanced and the one before was older than twice a delegation, all machines excluded meanwhile were taken as never renewed.

Evidence: PeerDelegationTest, with the peer's real state machine, on the sources before: a renewal at 4.9 s is unknown at 25.9 s.

Change: the time before the exclusion is kept for each excluded machine; there is no window in time any more.

--- a/src/main/java/io/kelphoist/delegation/PeerDelegation.java
+++ b/src/main/java/io/kelphoist/delegation/PeerDelegation.java
@@ -1,6 +1,8 @@
 package io.kelphoist.delegation;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import com.google.common.collect.Sets;
 import io.kelphoist.model.SchedulingPolicy;
 import java.util.Collection;
@@ -90,12 +92,12 @@
     private double lastRenewalAtSeconds = Double.NEGATIVE_INFINITY;
 
     /**
-     * Machines whose leases the peer cannot have renewed until {@link #lastRenewalAtSeconds},
-     * because the delegations that it held excluded them. When {@link #lastRenewalAtSeconds}
-     * advances, the earlier exclusions are disregarded if its previous value is longer ago than
-     * twice the duration of a delegation.
+     * By machine that was excluded when {@link #lastRenewalAtSeconds} last advanced, the latest
+     * time at which the peer may have renewed its lease; negative infinity: it cannot have. At most
+     * {@link #MAX_EXCLUDED_MACHINES} entries. For all other machines it is {@link
+     * #lastRenewalAtSeconds}.
      */
-    private ImmutableSet<String> notRenewedMachines = ImmutableSet.of();
+    private ImmutableMap<String, Double> earlierRenewalAtSeconds = ImmutableMap.of();
 
     /**
      * Starts a term in which the peer has not responded yet.
@@ -178,11 +180,9 @@
             latestStartAtSeconds = Double.NEGATIVE_INFINITY;
         }
         if (boundedRenewalAtSeconds > lastRenewalAtSeconds) {
-            notRenewedMachines =
-                    lastRenewalAtSeconds > nowSeconds - timing.delegationSeconds() * 2
-                            ? Sets.intersection(notRenewedMachines, excludedMachines)
-                                    .immutableCopy()
-                            : excludedMachines;
+            earlierRenewalAtSeconds =
+                    ImmutableMap.copyOf(
+                            Maps.asMap(excludedMachines, this::renewalBeforeResponseAtSeconds));
             lastRenewalAtSeconds = boundedRenewalAtSeconds;
         }
         transitionTo(nextState);
@@ -293,10 +293,7 @@
      * machine's lease; negative infinity if it cannot have renewed it.
      */
     double latestRenewalAtSeconds(String machineName, double nowSeconds) {
-        double renewalBeforeResponseAtSeconds =
-                notRenewedMachines.contains(machineName)
-                        ? Double.NEGATIVE_INFINITY
-                        : lastRenewalAtSeconds;
+        double renewalBeforeResponseAtSeconds = renewalBeforeResponseAtSeconds(machineName);
         double mayRenewAfterSeconds =
                 lastRespondedRequestSentAtSeconds
                         + timing.leaderSilenceSeconds()
@@ -306,4 +303,9 @@
         }
         return Math.max(renewalBeforeResponseAtSeconds, Math.min(nowSeconds, expiresAtSeconds()));
     }
+
+    /** Returns the latest time, before the newest response, at which a lease may be renewed. */
+    private double renewalBeforeResponseAtSeconds(String machineName) {
+        return earlierRenewalAtSeconds.getOrDefault(machineName, lastRenewalAtSeconds);
+    }
 }
