Events: ending a slow stream loses no events of others

What callers saw: clients that follow jobs by owner missed events when another such client was too slow; the log had an unexpected error.

Cause: the broker iterated over the registry's set, from which the end of the slow subscription removes it: ConcurrentModificationException in the middle of a batch.

Evidence: EventBrokerTest#endOfASlowSubscriptionLosesNoEventsOfOthers fails with that exception on the sources before.

Change: SubscriptionRegistry.byOwner and byJobId return copies, as all() did.

Result: the test passes with the slow subscription in each position; EventBrokerSimulationTest passes.

--- a/src/main/java/io/kelphoist/events/SubscriptionRegistry.java
+++ b/src/main/java/io/kelphoist/events/SubscriptionRegistry.java
@@ -89,13 +89,16 @@
         return new ArrayList<>(subscriptions);
     }
 
-    /** Returns the open subscriptions whose filter is by owner. */
-    Set<Subscription> byOwner() {
-        return byOwner;
+    /**
+     * Returns a copy of the open subscriptions whose filter is by owner, so that one of them can
+     * end during iteration.
+     */
+    List<Subscription> byOwner() {
+        return new ArrayList<>(byOwner);
     }
 
-    /** Returns the open subscriptions that name a job. */
-    Set<Subscription> byJobId(String jobId) {
-        return subscriptionsByJobId.getOrDefault(jobId, Set.of());
+    /** Returns a copy of the open subscriptions that name a job, for the same reason. */
+    List<Subscription> byJobId(String jobId) {
+        return new ArrayList<>(subscriptionsByJobId.getOrDefault(jobId, Set.of()));
     }
 }
--- a/src/test/java/io/kelphoist/events/EventBrokerTest.java
+++ b/src/test/java/io/kelphoist/events/EventBrokerTest.java
@@ -256,4 +256,50 @@
         byte[] encoded = CursorSignerTest.signer(1).encode(subscriber.lastCursor);
         assertArrayEquals(encoded, CursorSignerTest.signer(1).encode(subscriber.lastCursor));
     }
+
+    /**
+     * Guards against events that are lost for others when a slow subscription by owner is ended.
+     */
+    @Test
+    void endOfASlowSubscriptionLosesNoEventsOfOthers() throws EventBroker.TooManyStreamsException {
+        for (int slowPosition = 0; slowPosition < 3; slowPosition++) {
+            checkEndOfASlowSubscription(slowPosition);
+        }
+    }
+
+    private static void checkEndOfASlowSubscription(int slowPosition)
+            throws EventBroker.TooManyStreamsException {
+        int jobs = 3 * SMALL_LIMITS.maxBufferedEvents();
+        EventBroker broker = newBroker(SMALL_LIMITS);
+        List<RecordingSubscriber> subscribers = new ArrayList<>();
+        for (int position = 0; position < 3; position++) {
+            RecordingSubscriber subscriber = new RecordingSubscriber();
+            // The slow one receives the records, but none of the events after them.
+            subscriber.demand = position == slowPosition ? jobs : Integer.MAX_VALUE;
+            subscribers.add(subscriber);
+            broker.subscribe(ALL_JOBS, Optional.empty(), List.of(), "c" + position, subscriber, 0);
+        }
+        for (int job = 1; job <= jobs; job++) {
+            broker.onRecordsChanged(job, List.of(record(job, JobStatus.ACTIVE, job)), 0);
+        }
+        int batchSize = SMALL_LIMITS.maxBufferedEvents() - 2;
+        for (int first = 1; first <= jobs; first += batchSize) {
+            List<TransientEvent> batch = new ArrayList<>();
+            for (int job = first; job < first + batchSize; job++) {
+                batch.add(
+                        new TransientEvent(
+                                "job-" + job, new JobEventType.Started(0, "m"), 0, 1, 0));
+            }
+            broker.onTransientEvents(batch, 0);
+        }
+        for (int position = 0; position < 3; position++) {
+            RecordingSubscriber subscriber = subscribers.get(position);
+            if (position == slowPosition) {
+                assertEquals(Subscriber.EndReason.SLOW, subscriber.endReason);
+            } else {
+                assertEquals(
+                        2 * jobs, subscriber.events.size(), "events of subscriber " + position);
+            }
+        }
+    }
 }
