Handover: no machine state from a term that published none

What callers could have seen: after a term that ended before its failover was complete, the next leader rents machines without waiting for the cloud's list.

Cause: the update of a publisher that never published is empty and reads as complete.

Evidence: MachineStateReplicationTest; on the sources before an empty replica counts as current.

Change: such a publisher hands nothing over.

Result: the test failed before and passes; MachineStateReplicaTest and PlannedHandoverTest pass.

--- a/src/main/java/io/kelphoist/leadership/MachineStateReplication.java
+++ b/src/main/java/io/kelphoist/leadership/MachineStateReplication.java
@@ -40,7 +40,10 @@
     /** The publisher of the term that is led here; empty while none is or if not enabled. */
     private Optional<MachineStatePublisher> publisher = Optional.empty();
 
-    /** The publisher of the last term that ended here; empty if none ended or if not enabled. */
+    /**
+     * The publisher of the last term that ended here; empty if none ended, if that term ended
+     * before machines were published, or if not enabled.
+     */
     private Optional<MachineStatePublisher> lastTermPublisher = Optional.empty();
 
     /** The failover of the term that is led here; empty while none is. */
@@ -70,7 +73,7 @@
         if (publisher.isPresent() && schedulerState.isRecovered()) {
             publisher.get().publish(schedulerState.replicatedMachines());
         }
-        lastTermPublisher = publisher;
+        lastTermPublisher = publisher.filter(MachineStatePublisher::hasPublished);
         publisher = Optional.empty();
         failover = Optional.empty();
     }
@@ -136,7 +139,7 @@
     /**
      * Returns the last changes in the ended term that a peer has not acknowledged, up to the
      * maximum size of an update, for the handover message to it; empty if machine state is not
-     * replicated.
+     * replicated or the term ended before any was published.
      */
     Optional<MachineStateUpdate> handoverUpdate(String peer) {
         return lastTermPublisher.map(last -> last.nextUpdate(peer, eventLoop.nowSeconds()));
--- a/src/main/java/io/kelphoist/replication/MachineStatePublisher.java
+++ b/src/main/java/io/kelphoist/replication/MachineStatePublisher.java
@@ -118,6 +118,7 @@
     private final MachineStateDigests shardDigests = new MachineStateDigests();
     private final Map<String, FollowerProgress> followers = new HashMap<>();
     private long headSequence;
+    private boolean published;
 
     /** Sequence number of the newest removal that was evicted; 0 if none was. */
     private long lastEvictedSequence;
@@ -129,6 +130,7 @@
      * Machines that are not in {@code machines} are published as removed.
      */
     public void publish(Collection<ReplicatedMachine> machines) {
+        published = true;
         Set<String> presentNames = new HashSet<>();
         for (ReplicatedMachine machine : machines) {
             presentNames.add(machine.name());
@@ -145,6 +147,14 @@
         evictOldRemovals();
     }
 
+    /**
+     * Whether machines were published. Until then there is no state that an update could replicate:
+     * a receiver would take an empty update for a cluster without machines.
+     */
+    public boolean hasPublished() {
+        return published;
+    }
+
     private void evictOldRemovals() {
         Iterator<MachineEntry> oldestFirst = entriesBySequence.values().iterator();
         while (removedCount > MAX_RETAINED_REMOVALS && oldestFirst.hasNext()) {
