Job cache: no record is cached whose newer change was evicted

Cause: a job without a tracked revision counted as unchanged, also after the eviction of its revision.

Change: an eviction ends the epoch, and outcomes of writes must be newer than what was evicted.

--- a/src/main/java/io/kelphoist/admission/JobRecordCache.java
+++ b/src/main/java/io/kelphoist/admission/JobRecordCache.java
@@ -2,6 +2,7 @@
 
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
+import com.google.common.cache.RemovalNotification;
 import io.kelphoist.eventloop.EventLoop;
 import io.kelphoist.model.JobRecord;
 import io.kelphoist.statestore.StateStoreReader;
@@ -79,6 +80,7 @@
             CacheBuilder.newBuilder()
                     .maximumSize(MAX_TRACKED_REVISIONS)
                     .concurrencyLevel(1)
+                    .removalListener(this::onRevisionRemoved)
                     .build();
 
     private List<Consumer<RevalidationResult>> revalidationWaiters = new ArrayList<>();
@@ -98,10 +100,14 @@
     private double currentAsOfSeconds = Double.NEGATIVE_INFINITY;
 
     /**
-     * Number of resets. The response to a request that was sent in an earlier epoch is not cached.
+     * Increases with each reset, and when a latest revision is evicted. The response to a request
+     * that was sent in an earlier epoch is not cached.
      */
     private long epoch;
 
+    /** The highest revision that was evicted from {@link #latestRevisions}. */
+    private long evictedRevision;
+
     /**
      * @param onFinalRecord receives the final record of each cached job that ends
      */
@@ -159,7 +165,7 @@
 
     /** Caches an unfinished job's record that this controller has just stored. */
     void onWritten(JobRecord record) {
-        if (hasRevision() && record.version() > firstRevision) {
+        if (hasRevision() && record.version() > Math.max(firstRevision, evictedRevision)) {
             putIfNewest(record);
         }
     }
@@ -173,6 +179,17 @@
         }
     }
 
+    /**
+     * Without the latest revision of a job it is unknown whether a response that is in flight is
+     * older than that. A request that is sent later reads the change.
+     */
+    private void onRevisionRemoved(RemovalNotification<String, Long> removed) {
+        if (removed.wasEvicted()) {
+            evictedRevision = Math.max(evictedRevision, removed.getValue());
+            epoch++;
+        }
+    }
+
     /** Drops a job's cached record. */
     void invalidate(String jobId) {
         records.invalidate(jobId);
