Paged reads: an empty page with more to come is a failed read

Evidence: SnapshotReadTest on the read as it was (moved out of StateStoreClient unchanged): complete after an empty first page, the 101st request for one page. InstanceListPageTest fails on the sources before.

Change: SnapshotRead fails such a read; such an instance list is malformed. Readers retry both.

Result: both tests failed before and pass; EndToEndStateStoreTest passes.

--- a/src/main/java/io/kelphoist/statestore/StateStoreClient.java
+++ b/src/main/java/io/kelphoist/statestore/StateStoreClient.java
@@ -13,7 +13,6 @@
 import io.kelphoist.wire.HttpHostClient;
 import io.kelphoist.wire.HttpRequest;
 import io.kelphoist.wire.MalformedMessageException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -135,12 +134,24 @@
      */
     @Override
     public void readAll(String prefix, Consumer<Optional<StateSnapshot>> callback) {
-        new SnapshotRead(prefix, /* urgent= */ false, callback).requestPage(/* afterKey= */ "");
+        readSnapshot(prefix, /* urgent= */ false, callback);
     }
 
     /** As {@link #readAll}, but with urgent requests, for reads on which an election waits. */
     public void readAllUrgently(String prefix, Consumer<Optional<StateSnapshot>> callback) {
-        new SnapshotRead(prefix, /* urgent= */ true, callback).requestPage(/* afterKey= */ "");
+        readSnapshot(prefix, /* urgent= */ true, callback);
+    }
+
+    private void readSnapshot(
+            String prefix, boolean urgent, Consumer<Optional<StateSnapshot>> callback) {
+        SnapshotRead.PageSource pages =
+                (afterKey, onPage) ->
+                        send(
+                                StateStoreRequests.page(prefix, afterKey),
+                                urgent,
+                                StateStoreResponses.page(),
+                                onPage);
+        new SnapshotRead(pages, callback).start();
     }
 
     @Override
@@ -314,53 +325,4 @@
                             lastUsableResponseAtSeconds + MAX_SECONDS_FROM_RESPONSE_TO_FAILURE);
         }
     }
-
-    /** A read of all records below a prefix, one page after the other. */
-    private final class SnapshotRead {
-        private final String prefix;
-        private final boolean urgent;
-        private final Consumer<Optional<StateSnapshot>> callback;
-        private final List<StoredRecord> records = new ArrayList<>();
-
-        /**
-         * Revision of the first page, which becomes the revision of the snapshot. That of a later
-         * page would be too high: the earlier pages do not include changes made after they were
-         * read. Negative until the first page is read.
-         */
-        private long revision = -1;
-
-        SnapshotRead(String prefix, boolean urgent, Consumer<Optional<StateSnapshot>> callback) {
-            this.prefix = prefix;
-            this.urgent = urgent;
-            this.callback = callback;
-        }
-
-        void requestPage(String afterKey) {
-            send(
-                    StateStoreRequests.page(prefix, afterKey),
-                    urgent,
-                    StateStoreResponses.page(),
-                    this::onPage);
-        }
-
-        private void onPage(StateStoreResult<Optional<StateStoreResponses.Page>> result) {
-            // An empty value is a response without a list of records.
-            if (!(result instanceof StateStoreResult.Success<Optional<StateStoreResponses.Page>> ok)
-                    || ok.value().isEmpty()) {
-                callback.accept(Optional.empty());
-                return;
-            }
-            StateStoreResponses.Page page = ok.value().get();
-            records.addAll(page.records());
-            if (revision < 0) {
-                revision = page.revision();
-            }
-            // Without any record there is no key after which the next page could be requested.
-            if (page.hasNext() && !records.isEmpty()) {
-                requestPage(records.get(records.size() - 1).key());
-            } else {
-                callback.accept(Optional.of(new StateSnapshot(records, revision)));
-            }
-        }
-    }
 }
--- a/src/main/java/io/kelphoist/wire/CloudCodec.java
+++ b/src/main/java/io/kelphoist/wire/CloudCodec.java
@@ -125,8 +125,13 @@
         ObjectNode message = MessageEncoding.decodeCbor(body);
         List<CloudInstance> instances = decodeInstances(message);
         // Without instances there is no name after which the next page could be requested.
-        boolean isLast = !decodeHasNextPage(message) || instances.isEmpty();
-        return new InstanceListPage(afterName, isLast, instances);
+        boolean hasNext = decodeHasNextPage(message);
+        if (hasNext && instances.isEmpty()) {
+            // The next page is requested after the last name of this one.
+            throw new MalformedMessageException(
+                    "instance list page without instances, but not the last");
+        }
+        return new InstanceListPage(afterName, !hasNext, instances);
     }
 
     /**
