Recovery: a stored start counts whatever the type of its machine

Cause: starts on machines of an unknown type were ignored.

Evidence: scenario failover-start-on-unknown-machine-type-is-presumed; on the sources before the task is started elsewhere right after the failover.

Change: the machine gets a type of that name that holds the recorded task.

Result: the scenario failed before and passes; all scenarios pass. SCENARIOS: loaded-starts has an option for the type.

--- a/src/main/java/io/kelphoist/scheduler/StateRecovery.java
+++ b/src/main/java/io/kelphoist/scheduler/StateRecovery.java
@@ -15,6 +15,7 @@
 import io.kelphoist.scheduler.lifecycle.AttemptLifecycle;
 import io.kelphoist.scheduler.lifecycle.SchedulerContext;
 import io.kelphoist.scheduler.records.SchedulerRecords;
+import java.util.List;
 
 /**
  * Restores the records that earlier terms stored (starts, done tasks, cached images) and the
@@ -59,23 +60,18 @@
      * until the machine sends a heartbeat under this term or its lease has expired. No task without
      * a record can run there, because each start is recorded before it is sent.
      *
-     * <p>A start is ignored if its machine type is unknown, its job is not registered or has no
-     * task of this index, or the task is done. So is a further start of the same task on the same
-     * machine.
+     * <p>A start is ignored if its job is not registered or has no task of this index, or the task
+     * is done. So is a further start of the same task on the same machine.
      */
     void onStartLoaded(int pageNumber, RecordedStart start, double nowSeconds) {
-        MachineType machineType = catalog.type(start.machineType());
         Job job = jobs.get(start.task().jobId());
         int taskIndex = start.task().taskIndex();
-        if (machineType == null
-                || job == null
-                || taskIndex >= job.spec().tasks()
-                || job.tasks().isDone(taskIndex)) {
+        if (job == null || taskIndex >= job.spec().tasks() || job.tasks().isDone(taskIndex)) {
             return;
         }
         Machine machine = machines.get(start.machineName());
         if (machine == null) {
-            machine = createMachine(start, machineType, nowSeconds);
+            machine = createMachine(start, machineTypeOf(start, job), nowSeconds);
             machines.add(machine);
         }
         if (machine.attempts().findPresumed(job, taskIndex) == null) {
@@ -86,6 +82,26 @@
         }
     }
 
+    /**
+     * Returns the machine's type. Of a type that the cloud no longer offers only the recorded task
+     * is known to fit, so nothing larger is placed there.
+     */
+    private MachineType machineTypeOf(RecordedStart start, Job job) {
+        MachineType offered = catalog.type(start.machineType());
+        if (offered != null) {
+            return offered;
+        }
+        return new MachineType(
+                start.machineType(),
+                job.spec().resourcesPerTask(),
+                /* cacheGb= */ 0,
+                catalog.maxFetchGbPerSecond(),
+                /* price= */ 0,
+                /* spotPrice= */ 0,
+                /* bootSeconds= */ 0,
+                List.of(start.zone()));
+    }
+
     private Machine createMachine(RecordedStart start, MachineType machineType, double nowSeconds) {
         return new Machine(
                 new MachineIdentity(
--- a/src/test/java/io/kelphoist/scheduler/ScenarioJobs.java
+++ b/src/test/java/io/kelphoist/scheduler/ScenarioJobs.java
@@ -104,7 +104,7 @@
             RecordedStart start =
                     new RecordedStart(
                             line.word(1),
-                            setup.machineType().name(),
+                            line.option("type", setup.machineType().name()),
                             line.option("zone", setup.zone()),
                             line.has("spot"),
                             ScenarioValues.task(task));
