Request bodies: a failed handler gets status 500, however the body was sent

Cause: a handler that ran when the last bytes arrived was called outside of Undertow's root handler, which turns exceptions into status 500.

Change: the handler runs under Connectors.executeRootHandler.

Result: the test hung before and passes; EndToEndRefusalTest passes.

--- a/src/main/java/io/kelphoist/wire/RequestBodyReceiver.java
+++ b/src/main/java/io/kelphoist/wire/RequestBodyReceiver.java
@@ -3,6 +3,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
 import java.io.ByteArrayOutputStream;
@@ -122,13 +123,20 @@
                     refusedRequests.refuse(exchange, channel, refusalStatus);
                 } else if (count < 0) {
                     channel.suspendReads();
-                    handler.handle(exchange, body.toByteArray());
+                    Connectors.executeRootHandler(this::handleBody, exchange);
                 }
             } catch (IOException e) {
                 closeWithStatus(exchange, refusalStatus);
             }
         }
 
+        /**
+         * Called as the exchange's handler, so that a failure ends the exchange with status 500.
+         */
+        private void handleBody(HttpServerExchange received) {
+            HttpExchanges.dispatch(received, () -> handler.handle(received, body.toByteArray()));
+        }
+
         /** Returns -1 at the end of the body, and 0 if there is no more to read now. */
         private int readAvailable(ByteBuffer buffer) throws IOException {
             int count = channel.read(buffer);
--- a/src/test/java/io/kelphoist/wire/RefusedRequestsTest.java
+++ b/src/test/java/io/kelphoist/wire/RefusedRequestsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.io.InputStream;
@@ -33,6 +34,7 @@
     private static final int MAX_BODY_BYTES = 64 << 10;
     private static final int MAX_EXCESS_BYTES = 1 << 20;
     private static final int REFUSALS = 400;
+    private static final int RESPONSE_TIMEOUT_MILLIS = 20_000;
     private static final String HEADER_END = "\r\n\r\n";
     private static final RefusedRequests.Limits SMALL_LIMITS =
             new RefusedRequests.Limits(256 << 10, 300, 4);
@@ -50,19 +52,20 @@
     private void startServer(RefusedRequests.Limits limits) {
         RequestBodyReceiver bodies =
                 new RequestBodyReceiver(new RefusedRequests(limits, cutOffs::incrementAndGet));
+        startServer(
+                exchange ->
+                        bodies.receive(
+                                exchange,
+                                MAX_BODY_BYTES,
+                                (received, body) ->
+                                        HttpExchanges.sendStatus(received, StatusCodes.OK)));
+    }
+
+    private void startServer(HttpHandler handler) {
         server =
                 RequestBodyReceiver.newServerBuilder()
                         .setIoThreads(1)
-                        .addHttpListener(
-                                0,
-                                "127.0.0.1",
-                                exchange ->
-                                        bodies.receive(
-                                                exchange,
-                                                MAX_BODY_BYTES,
-                                                (received, body) ->
-                                                        HttpExchanges.sendStatus(
-                                                                received, StatusCodes.OK)))
+                        .addHttpListener(0, "127.0.0.1", handler)
                         .build();
         server.start();
         port = ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
@@ -121,6 +124,42 @@
         }
     }
 
+    /** A handler that fails ends the request with status 500, however its body was sent. */
+    @Test
+    void failedHandlerGetsStatus500() throws Exception {
+        RequestBodyReceiver bodies =
+                new RequestBodyReceiver(
+                        new RefusedRequests(SMALL_LIMITS, cutOffs::incrementAndGet));
+        startServer(
+                exchange ->
+                        bodies.receive(
+                                exchange,
+                                MAX_BODY_BYTES,
+                                (received, body) -> {
+                                    throw new IllegalStateException("handler failed");
+                                }));
+        for (boolean chunked : List.of(true, false)) {
+            try (Socket socket = connect()) {
+                OutputStream output = socket.getOutputStream();
+                output.write(requestHead(chunked ? -1 : 10));
+                // By the time of another connection's response the server waits for the body.
+                sendRequestWithoutBody(500);
+                writeInPieces(output, 10, chunked);
+                endBody(output, chunked);
+                socket.shutdownOutput();
+                assertResponse(500, socket.getInputStream());
+            }
+        }
+    }
+
+    private void sendRequestWithoutBody(int expectedStatus) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(requestHead(0));
+            socket.shutdownOutput();
+            assertResponse(expectedStatus, socket.getInputStream());
+        }
+    }
+
     /** A body without end is refused, and its connection is closed at the bounds. */
     @Test
     void endsBodiesThatNeverEnd() throws Exception {
@@ -159,18 +198,16 @@
             assertEquals("HTTP/1.1 400", new String(response, StandardCharsets.US_ASCII));
         }
         assertEquals(50 - 4, cutOffs.get());
-        try (Socket socket = connect()) {
-            socket.getOutputStream().write(requestHead(0));
-            socket.shutdownOutput();
-            assertResponse(200, socket.getInputStream());
-        }
+        sendRequestWithoutBody(200);
         for (Socket socket : sockets) {
             socket.close();
         }
     }
 
     private Socket connect() throws IOException {
-        return new Socket(InetAddress.getLoopbackAddress(), port);
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
+        return socket;
     }
 
     private int oversizedBodyBytes() {
