Team limit: only jobs that have not begun go first

Cause: every start began a new wait, so that tasks of arrays that had begun, and whose deadlines were past, went before those that could still meet theirs.

Change: a job is overdue only until its first start; its other tasks follow priority and deadline as before. The bound is about the beginning of a job and stays the same.

--- a/src/main/java/io/kelphoist/scheduler/allocation/Allocator.java
+++ b/src/main/java/io/kelphoist/scheduler/allocation/Allocator.java
@@ -273,7 +273,7 @@
     }
 
     private static double overdueSinceSeconds(Job job) {
-        return limitWait(job).isOverdue() ? limitWait(job).waitingSinceSeconds() : 0;
+        return limitWait(job).isOverdue() ? job.readyAtSeconds() : 0;
     }
 
     /**
--- a/src/main/java/io/kelphoist/scheduler/cluster/Job.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/Job.java
@@ -285,7 +285,7 @@
     public void updateWaiting(double nowSeconds) {
         aged = !hasBegun() && nowSeconds > readyAtSeconds + AGED_AFTER_SECONDS;
         failures.updateAvoidance(nowSeconds);
-        capacityAcquisition.limitWait().update(priority(), readyAtSeconds, nowSeconds);
+        capacityAcquisition.limitWait().update(this, nowSeconds);
     }
 
     /** Whether a task of it may be on a machine, has run or is done. */
--- a/src/main/java/io/kelphoist/scheduler/lifecycle/AttemptLifecycle.java
+++ b/src/main/java/io/kelphoist/scheduler/lifecycle/AttemptLifecycle.java
@@ -102,7 +102,7 @@
         attempt.machine().resources().allocate(job.spec().resourcesPerTask());
         job.team().allocate(job.spec().resourcesPerTask());
         job.addAttempt(attempt);
-        job.capacityAcquisition().limitWait().onTaskStarted(attempt.createdAtSeconds());
+        job.capacityAcquisition().limitWait().onTaskStarted();
     }
 
     /**
