--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
 cd "$root" || exit 2
-exec java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp "target/review:target/lib/*" $CASE_OPTS Case2 "$root" "$here"
+exec java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp "target/review:target/lib/*" Case2 "$root" "$here"
