--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -101,6 +101,20 @@
         return names;
     }
 
+    synchronized boolean isUp() {
+        return !stopped;
+    }
+
+    /** The tasks that it lists. */
+    synchronized String describe() {
+        StringBuilder out = new StringBuilder();
+        for (Task task : tasks.values()) {
+            out.append(task.name).append(' ').append(task.state);
+            out.append(task.why == null ? "" : " " + task.why).append(' ');
+        }
+        return out.length() == 0 ? "no task" : out.toString().trim();
+    }
+
     private void tickLoop() {
         while (true) {
             try {
@@ -319,7 +333,13 @@
         while (isCut()) {
             Thread.sleep(50);
         }
-        return answerNow(request);
+        Http.Answer answer = answerNow(request);
+        if (world.holdsAnswerTo(request.body())) {
+            // Carried out at once; only the answer is held up on its way.
+            world.log("TROUBLE", "the answer of " + name + " to the start is held up for 4 s");
+            Thread.sleep(4000);
+        }
+        return answer;
     }
 
     private synchronized Http.Answer answerNow(Http.Request request) {
--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -53,6 +53,8 @@
     private final List<Integer> listenPorts = new ArrayList<>();
     private final List<Integer> peerPorts = new ArrayList<>();
 
+    private volatile String heldTask;
+
     /** Set as soon as a task starts while it is on another machine. */
     volatile String ranTwice;
 
@@ -254,6 +256,22 @@
         return info == null ? 0 : info.cpus;
     }
 
+    /** From now on the answer to the first direct command that starts this task is held up. */
+    void holdAnswerToStart(String task) {
+        heldTask = task;
+    }
+
+    synchronized boolean holdsAnswerTo(JsonNode command) {
+        for (JsonNode call : command.path("calls")) {
+            if (call.path("call").asText().equals("start")
+                    && call.path("frond").asText().equals(heldTask)) {
+                heldTask = null;
+                return true;
+            }
+        }
+        return false;
+    }
+
     void onTask(String task, String machine, boolean on, String note) {
         if (on) {
             String other = where.put(task, machine);
