Metrics: how long queries wait for the shared read of changes

kelphoist_queries_waiting_seconds is the time since which readers wait for the present revalidation. A read of the state store ends by its timeout, so that a value above 10 s shows a revalidation that was never completed.

--- a/src/main/java/io/kelphoist/admission/Admission.java
+++ b/src/main/java/io/kelphoist/admission/Admission.java
@@ -19,9 +19,9 @@
  * controller that can't determine a job's current state does not report an assumed one; it defers
  * the request, so that the user retries.
  *
- * <p>All methods except {@link #deferralCount} and {@link #unansweredJobs} must be called on the
- * event loop. Each callback is called exactly once, on the event loop, possibly before the call
- * returns.
+ * <p>All methods except {@link #deferralCount}, {@link #unansweredJobs} and {@link
+ * #revalidationWaitSeconds} must be called on the event loop. Each callback is called exactly once,
+ * on the event loop, possibly before the call returns.
  */
 public final class Admission {
     /**
@@ -192,4 +192,13 @@
     public UnansweredJobs unansweredJobs() {
         return queries.unansweredJobs();
     }
+
+    /**
+     * Returns for how many seconds queries have waited until this controller's cached job records
+     * are known to be current; 0 if none waits. It stays below a few seconds, since a read of the
+     * state store ends by its timeout. May be called on any thread.
+     */
+    public double revalidationWaitSeconds(double nowSeconds) {
+        return queries.revalidationWaitSeconds(nowSeconds);
+    }
 }
--- a/src/main/java/io/kelphoist/admission/JobLookup.java
+++ b/src/main/java/io/kelphoist/admission/JobLookup.java
@@ -178,6 +178,11 @@
         unfinishedRecords.invalidate(jobId);
     }
 
+    /** Returns for how long reads of cached unfinished jobs have waited; 0 if none waits. */
+    double revalidationWaitSeconds(double nowSeconds) {
+        return unfinishedRecords.revalidationWaitSeconds(nowSeconds);
+    }
+
     private void readCurrent(String jobId, Consumer<JobReadResult> callback) {
         JobRecord finalRecord = finalRecords.getIfPresent(jobId);
         if (finalRecord != null) {
--- a/src/main/java/io/kelphoist/admission/JobRecordCache.java
+++ b/src/main/java/io/kelphoist/admission/JobRecordCache.java
@@ -85,6 +85,13 @@
 
     private List<Consumer<RevalidationResult>> revalidationWaiters = new ArrayList<>();
     private boolean revalidationScheduled;
+
+    /**
+     * Since when readers wait for the present revalidation, by the event loop's clock; infinite if
+     * none waits. Also read by the metrics thread.
+     */
+    private volatile double waitingSinceSeconds = Double.POSITIVE_INFINITY;
+
     private boolean readingInitialRevision;
 
     /**
@@ -212,11 +219,17 @@
         return loop.nowSeconds() - currentAsOfSeconds;
     }
 
+    /** Returns for how long readers have waited for the present revalidation; 0 if none waits. */
+    double revalidationWaitSeconds(double nowSeconds) {
+        return Math.max(0, nowSeconds - waitingSinceSeconds);
+    }
+
     /** Calls back when the next revalidation has ended. */
     void awaitRevalidation(Consumer<RevalidationResult> waiter) {
         revalidationWaiters.add(waiter);
         if (!revalidationScheduled) {
             revalidationScheduled = true;
+            waitingSinceSeconds = loop.nowSeconds();
             double nextRevalidationAtSeconds = currentAsOfSeconds + REVALIDATION_INTERVAL_SECONDS;
             loop.schedule(
                     Math.max(0, nextRevalidationAtSeconds - loop.nowSeconds()), this::revalidate);
@@ -257,7 +270,10 @@
         waiters.forEach(waiter -> waiter.accept(result));
         revalidationScheduled = !revalidationWaiters.isEmpty();
         if (revalidationScheduled) {
+            waitingSinceSeconds = loop.nowSeconds();
             loop.schedule(REVALIDATION_INTERVAL_SECONDS, this::revalidate);
+        } else {
+            waitingSinceSeconds = Double.POSITIVE_INFINITY;
         }
     }
 
--- a/src/main/java/io/kelphoist/admission/QueryHandler.java
+++ b/src/main/java/io/kelphoist/admission/QueryHandler.java
@@ -71,6 +71,10 @@
         return unansweredJobs;
     }
 
+    double revalidationWaitSeconds(double nowSeconds) {
+        return lookup.revalidationWaitSeconds(nowSeconds);
+    }
+
     private void respondAfterDependencyCheck(JobRecord record, Consumer<AdmissionResult> callback) {
         if (!waitsForDependencies(record)) {
             responder.respondWithState(record, callback);
--- a/src/main/java/io/kelphoist/controller/ControllerMetrics.java
+++ b/src/main/java/io/kelphoist/controller/ControllerMetrics.java
@@ -121,6 +121,10 @@
                 "kelphoist.jobs.unanswered.seconds",
                 "Longest time for which the queries for a job have been deferred",
                 c -> c.admission().unansweredJobs().longestDeferralSeconds(nowSeconds()));
+        registerGauge(
+                "kelphoist.queries.waiting.seconds",
+                "Time for which queries have waited until the cached job records are current",
+                c -> c.admission().revalidationWaitSeconds(nowSeconds()));
     }
 
     private void registerEventMetrics() {
