Queries: the check of dependencies no longer overflows the stack

Cause, of the overflow: DependencyWalk visited the next dependency from within the callback of the read before it. Cached records are passed on at once, so that each name added five frames, and the number of names is the user's choice.

Correction: the walk is a loop; a callback that runs at once hands over its result and returns. The depth of the stack does not depend on the job.

--- a/src/main/java/io/kelphoist/admission/DependencyWalk.java
+++ b/src/main/java/io/kelphoist/admission/DependencyWalk.java
@@ -1,5 +1,6 @@
 package io.kelphoist.admission;
 
+import io.kelphoist.model.JobRecord;
 import io.kelphoist.model.JobStatus;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -11,7 +12,7 @@
 /**
  * Breadth-first traversal of the jobs that a job depends on, directly or through other jobs. It
  * ends at the first one that is cancelled or whose record is unavailable. An instance is used for
- * one traversal; it owns the set of jobs that were queued for a visit.
+ * one traversal; it owns the jobs that were queued for a visit. Runs on the event loop.
  */
 final class DependencyWalk {
     /**
@@ -25,6 +26,12 @@
     private final Deque<String> unvisited;
     private final Set<String> seen;
 
+    /** Whether {@link #visitPending} runs, also if it is further up the stack. */
+    private boolean isVisiting;
+
+    private boolean isReadInFlight;
+    private boolean isCompleted;
+
     private DependencyWalk(
             JobLookup lookup, List<String> dependencies, Consumer<DependencyStatus> callback) {
         this.lookup = lookup;
@@ -44,33 +51,56 @@
      */
     static void start(
             JobLookup lookup, List<String> dependencies, Consumer<DependencyStatus> callback) {
-        new DependencyWalk(lookup, dependencies, callback).visitNext();
+        new DependencyWalk(lookup, dependencies, callback).visitPending();
+    }
+
+    /**
+     * Visits jobs until a read is in flight or the walk has completed. A read whose record is
+     * cached calls back from within {@link JobLookup#readRecent}. The next job is then visited by
+     * this loop and not by that callback, so that the depth of the stack does not depend on the
+     * number of dependencies, which the user chooses.
+     */
+    private void visitPending() {
+        isVisiting = true;
+        while (!isCompleted && !isReadInFlight) {
+            visitNext();
+        }
+        isVisiting = false;
     }
 
     private void visitNext() {
         if (unvisited.isEmpty()) {
-            callback.accept(DependencyStatus.NONE_CANCELLED);
+            complete(DependencyStatus.NONE_CANCELLED);
             return;
         }
+        isReadInFlight = true;
         lookup.readRecent(unvisited.poll(), this::onRead);
     }
 
     private void onRead(JobReadResult result) {
+        isReadInFlight = false;
         if (result instanceof JobReadResult.Unavailable) {
-            callback.accept(DependencyStatus.UNAVAILABLE);
-            return;
+            complete(DependencyStatus.UNAVAILABLE);
+        } else if (result instanceof JobReadResult.Present present) {
+            visit(present.record());
         }
-        if (result instanceof JobReadResult.Present present) {
-            JobStatus status = present.record().status();
-            if (status == JobStatus.CANCELLED) {
-                callback.accept(DependencyStatus.CANCELLED);
-                return;
-            }
-            if (status == JobStatus.ACTIVE && seen.size() < MAX_QUEUED_BEFORE_ADDING) {
-                enqueueUnseen(present.record().spec().dependencies());
-            }
+        if (!isVisiting) {
+            visitPending();
         }
-        visitNext();
+    }
+
+    private void visit(JobRecord dependency) {
+        if (dependency.status() == JobStatus.CANCELLED) {
+            complete(DependencyStatus.CANCELLED);
+        } else if (dependency.status() == JobStatus.ACTIVE
+                && seen.size() < MAX_QUEUED_BEFORE_ADDING) {
+            enqueueUnseen(dependency.spec().dependencies());
+        }
+    }
+
+    private void complete(DependencyStatus status) {
+        isCompleted = true;
+        callback.accept(status);
     }
 
     private void enqueueUnseen(List<String> dependencies) {
