Job record cache: a reader that throws leaves no other one waiting

Cause: completeRevalidation called the waiting readers in a row and then scheduled the next read of changes. A throwable of one reader ended both, and revalidationScheduled stayed set, so that no later reader started a read.

Evidence: the first trace of each controller ends in completeRevalidation; from then on kelphoist_queries_waiting_seconds rose by one per second.

Correction: Callbacks.forEach calls each reader and throws afterwards what was thrown first, so that it is logged as before; the next read is scheduled in any case, also if applying the changes throws.

JobRecordCacheTest#readerThatThrowsLeavesNoOtherReaderWaiting fails on the sources before (0 results instead of 2) and passes now.

--- a/src/main/java/io/kelphoist/admission/JobRecordCache.java
+++ b/src/main/java/io/kelphoist/admission/JobRecordCache.java
@@ -3,6 +3,7 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import com.google.common.cache.RemovalNotification;
+import io.kelphoist.eventloop.Callbacks;
 import io.kelphoist.eventloop.EventLoop;
 import io.kelphoist.model.JobRecord;
 import io.kelphoist.statestore.StateStoreReader;
@@ -248,7 +249,19 @@
         store.changesSince(
                 StateStoreKeys.JOBS_PREFIX,
                 appliedRevision,
-                response -> completeRevalidation(waiters, applyResponse(response, sentAtSeconds)));
+                response -> onChanges(waiters, response, sentAtSeconds));
+    }
+
+    private void onChanges(
+            List<Consumer<RevalidationResult>> waiters,
+            StateStoreResult<StoredChanges> response,
+            double sentAtSeconds) {
+        RevalidationResult result = RevalidationResult.UNAVAILABLE;
+        try {
+            result = applyResponse(response, sentAtSeconds);
+        } finally {
+            completeRevalidation(waiters, result);
+        }
     }
 
     private RevalidationResult applyResponse(
@@ -265,9 +278,21 @@
         return RevalidationResult.RESET;
     }
 
+    /**
+     * Calls back all readers that waited for a revalidation, and schedules the next one if others
+     * wait. Neither depends on what a reader throws: otherwise the other readers, and all that come
+     * later, would wait for ever.
+     */
     private void completeRevalidation(
             List<Consumer<RevalidationResult>> waiters, RevalidationResult result) {
-        waiters.forEach(waiter -> waiter.accept(result));
+        try {
+            Callbacks.forEach(waiters, waiter -> waiter.accept(result));
+        } finally {
+            scheduleNextRevalidation();
+        }
+    }
+
+    private void scheduleNextRevalidation() {
         revalidationScheduled = !revalidationWaiters.isEmpty();
         if (revalidationScheduled) {
             waitingSinceSeconds = loop.nowSeconds();
--- a/src/test/java/io/kelphoist/admission/JobRecordCacheTest.java
+++ b/src/test/java/io/kelphoist/admission/JobRecordCacheTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.node.NullNode;
 import io.kelphoist.eventloop.EventLoop;
@@ -10,6 +11,7 @@
 import io.kelphoist.model.JobRecordFixtures;
 import io.kelphoist.model.JobStatus;
 import io.kelphoist.statestore.StateStoreReader;
+import io.kelphoist.statestore.StateStoreSimulation;
 import io.kelphoist.statestore.protocol.RecordChange;
 import io.kelphoist.statestore.protocol.StateSnapshot;
 import io.kelphoist.statestore.protocol.StateStoreKeys;
@@ -24,7 +26,8 @@
 
 /**
  * Guards against a record that is cached as current although the job changed while its read was in
- * flight, because that change was evicted by the changes of many other jobs.
+ * flight, because that change was evicted by the changes of many other jobs; and against readers
+ * that wait for ever.
  */
 class JobRecordCacheTest {
     private static final int MANY_JOBS = 30_000;
@@ -61,6 +64,40 @@
         assertNotNull(cache.getIfPresent("job-" + 2 * MANY_JOBS));
     }
 
+    /** Guards against readers that wait for ever because another reader's callback throws. */
+    @Test
+    void readerThatThrowsLeavesNoOtherReaderWaiting() {
+        StateStoreSimulation loop = new StateStoreSimulation(/* seed= */ 1, /* startSeconds= */ 0);
+        JobRecordCache sharedCache = new JobRecordCache(loop, loop, job -> {});
+        sharedCache.epoch();
+        loop.advance(1);
+        List<JobRecordCache.RevalidationResult> results = new ArrayList<>();
+        sharedCache.awaitRevalidation(
+                result -> {
+                    sharedCache.awaitRevalidation(results::add);
+                    throw new StackOverflowError();
+                });
+        sharedCache.awaitRevalidation(results::add);
+        assertThrows(StackOverflowError.class, () -> loop.advance(1));
+        loop.advance(1);
+        assertEquals(2, results.size(), "a reader of the same or of the next revalidation waits");
+        sharedCache.awaitRevalidation(results::add);
+        loop.advance(2);
+        assertEquals(3, results.size(), "a later reader waits");
+        assertEquals(0, sharedCache.revalidationWaitSeconds(loop.nowSeconds()));
+    }
+
+    /** The time that readers have waited is reported, as the only sign of a lost revalidation. */
+    @Test
+    void waitIsReportedUntilTheRevalidationHasEnded() {
+        StateStoreSimulation loop = new StateStoreSimulation(/* seed= */ 1, /* startSeconds= */ 0);
+        JobRecordCache unansweredCache = new JobRecordCache(new SilentStore(), loop, job -> {});
+        unansweredCache.epoch();
+        unansweredCache.awaitRevalidation(result -> {});
+        loop.advance(7);
+        assertEquals(7, unansweredCache.revalidationWaitSeconds(loop.nowSeconds()), 1e-9);
+    }
+
     private long startEpoch() {
         cache.epoch();
         return cache.epoch();
@@ -80,6 +117,15 @@
         assertEquals(List.of(JobRecordCache.RevalidationResult.CURRENT), results);
     }
 
+    /** Returns a revision, and never responds to requests for changes. */
+    private static final class SilentStore extends StubStore {
+        @Override
+        public void changesSince(
+                String prefix,
+                long afterRevision,
+                Consumer<StateStoreResult<StoredChanges>> callback) {}
+    }
+
     /** Runs tasks at once. */
     private static final class ImmediateLoop implements EventLoop {
         @Override
@@ -94,7 +140,7 @@
     }
 
     /** Returns an empty snapshot of revision 1, and the given changes. */
-    private static final class StubStore implements StateStoreReader {
+    private static class StubStore implements StateStoreReader {
         private final List<RecordChange> changes = new ArrayList<>();
 
         @Override
