Job lookup: a shared read that is lost is not joined

Overlapping reads of one dependency share a read. A waiter that threw left the others without a result; and a read that threw before it was sent left its entry, so that every later reader of this dependency joined it and waited for ever.

Correction: all waiters are called (Callbacks), and an entry whose read could not be sent is removed.

--- a/src/main/java/io/kelphoist/admission/JobLookup.java
+++ b/src/main/java/io/kelphoist/admission/JobLookup.java
@@ -2,6 +2,7 @@
 
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
+import io.kelphoist.eventloop.Callbacks;
 import io.kelphoist.eventloop.EventLoop;
 import io.kelphoist.model.JobRecord;
 import io.kelphoist.statestore.StateStoreReader;
@@ -122,8 +123,19 @@
             waiters.add(result -> acceptOrReadIfAbsent(jobId, result, callback));
             return;
         }
-        recentReadWaiters.put(jobId, new ArrayList<>(List.of(callback)));
-        read(jobId, result -> completeRecentRead(jobId, result));
+        startRecentRead(jobId, callback);
+    }
+
+    private void startRecentRead(String jobId, Consumer<JobReadResult> callback) {
+        List<Consumer<JobReadResult>> waiters = new ArrayList<>(List.of(callback));
+        recentReadWaiters.put(jobId, waiters);
+        try {
+            read(jobId, result -> completeRecentRead(jobId, result));
+        } catch (RuntimeException | Error e) {
+            // Otherwise all later callers would join a read that was not sent, and wait for ever.
+            recentReadWaiters.remove(jobId, waiters);
+            throw e;
+        }
     }
 
     /**
@@ -140,7 +152,7 @@
     }
 
     private void completeRecentRead(String jobId, JobReadResult result) {
-        recentReadWaiters.remove(jobId).forEach(waiter -> waiter.accept(result));
+        Callbacks.forEach(recentReadWaiters.remove(jobId), waiter -> waiter.accept(result));
     }
 
     /**
