GroupCommitter: queues and transactions in flight in classes of their own

WriteQueues has the order of the waiting writes, TransactionWindow decides whether the next transaction may be sent. Expired writes are now removed from both queues before their listeners are told; nothing else changes.

--- a/src/main/java/io/kelphoist/statestore/GroupCommitter.java
+++ b/src/main/java/io/kelphoist/statestore/GroupCommitter.java
@@ -1,15 +1,12 @@
 package io.kelphoist.statestore;
 
-import com.google.common.collect.Iterables;
 import io.kelphoist.eventloop.EventLoop;
 import io.kelphoist.statestore.protocol.RecordMutation;
 import io.kelphoist.statestore.protocol.StateStoreResult;
 import io.kelphoist.statestore.protocol.StateStoreResult.NotExecutedCause;
 import io.kelphoist.statestore.protocol.StateStoreResult.Reason;
 import io.kelphoist.statestore.protocol.VersionCondition;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -21,10 +18,10 @@
  * the state store.
  *
  * <p>Normally one transaction is in flight at a time: the next one is sent when the newest one has
- * ended, or has had no response for {@link #SLOW_TRANSACTION_SECONDS}, up to {@link
- * #MAX_IN_FLIGHT}. Transactions may be executed in any order, also seconds later: a write is
- * conditional on the versions of the keys that it changes, unless its order does not matter. Urgent
- * writes, for whose outcome users or other operations wait, are sent before the others.
+ * ended, or its response is slow ({@link TransactionWindow}), up to {@link #MAX_IN_FLIGHT}.
+ * Transactions may be executed in any order, also seconds later: a write is conditional on the
+ * versions of the keys that it changes, unless its order does not matter. Urgent writes, for whose
+ * outcome users or other operations wait, are sent before the others.
  *
  * <p>Owns the queues of writes and the rate limiter of mutations. Methods and callbacks run on the
  * event loop.
@@ -116,14 +113,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(GroupCommitter.class);
 
     /**
-     * A transaction that has had no response for longer than this does not delay the next one. The
-     * usual latency is about 10 ms.
-     */
-    private static final double SLOW_TRANSACTION_SECONDS = 0.25;
-
-    /**
-     * Added to {@link #SLOW_TRANSACTION_SECONDS} for the timer that tries to send the next
-     * transaction, so that a transaction without response counts as slow when the timer runs.
+     * Added to {@link TransactionWindow#SLOW_TRANSACTION_SECONDS} for the timer that tries to send
+     * the next transaction, so that a transaction without response counts as slow when it runs.
      */
     private static final double SLOW_CHECK_MARGIN_SECONDS = 0.001;
 
@@ -139,8 +130,8 @@
     private final EventLoop loop;
     private final TokenBucket mutationLimiter;
     private final int maxMutations;
-    private final Deque<Write> urgentQueue = new ArrayDeque<>();
-    private final Deque<Write> normalQueue = new ArrayDeque<>();
+    private final WriteQueues queues = new WriteQueues();
+    private final TransactionWindow window = new TransactionWindow(MAX_IN_FLIGHT);
 
     /**
      * Maximum number of writes per transaction: unlimited at first; half the number of writes of a
@@ -150,15 +141,6 @@
     private int maxWritesPerTransaction = Integer.MAX_VALUE;
 
     private boolean paused;
-    private int inFlight;
-
-    /** Number of the transaction that was sent last, counted from 1; 0 if none was sent. */
-    private long newestTransactionNumber;
-
-    private double newestSentAtSeconds;
-
-    /** Whether the transaction that was sent last has ended, also without a response. */
-    private boolean newestHasEnded = true;
 
     /**
      * Creates a committer.
@@ -180,7 +162,7 @@
 
     /** Returns the number of writes that wait to be sent. */
     public int queuedWrites() {
-        return urgentQueue.size() + normalQueue.size();
+        return queues.size();
     }
 
     /**
@@ -192,52 +174,38 @@
             write.listener().onOutcome(Outcome.NOT_EXECUTED, 0);
             return;
         }
-        queueOf(write).add(write);
+        queues.add(write);
         sendNext();
     }
 
-    private Deque<Write> queueOf(Write write) {
-        return write.urgency() == Urgency.URGENT ? urgentQueue : normalQueue;
-    }
-
     private void sendNext() {
-        if (mustWait() || queuedWrites() == 0) {
+        if (mustWait() || queues.isEmpty()) {
             return;
         }
         double nowSeconds = loop.nowSeconds();
-        endExpired(urgentQueue, nowSeconds);
-        endExpired(normalQueue, nowSeconds);
+        notifyListeners(queues.pollExpired(nowSeconds), Outcome.NOT_EXECUTED, 0);
         // The listeners of expired writes may have submitted and sent others.
-        if (mustWait() || queuedWrites() == 0) {
+        if (mustWait() || queues.isEmpty()) {
             return;
         }
         List<Write> writes = withinMutationLimit(nextBatch(), nowSeconds);
         if (!writes.isEmpty()) {
-            writes.forEach(write -> queueOf(write).poll());
+            queues.removeFirst(writes);
             send(writes);
         }
     }
 
-    private static void endExpired(Deque<Write> queue, double nowSeconds) {
-        while (!queue.isEmpty() && queue.peek().expiresAtSeconds() < nowSeconds) {
-            queue.poll().listener().onOutcome(Outcome.NOT_EXECUTED, 0);
-        }
-    }
-
     /**
      * Returns whether no transaction may be sent now. A timer or a response triggers the next
      * attempt.
      */
     private boolean mustWait() {
-        return paused
-                || inFlight >= MAX_IN_FLIGHT
-                || (!newestHasEnded
-                        && loop.nowSeconds() < newestSentAtSeconds + SLOW_TRANSACTION_SECONDS);
+        return paused || window.mustWait(loop.nowSeconds());
     }
 
     private List<Write> nextBatch() {
         WriteBatch batch = new WriteBatch(maxWritesPerTransaction, maxMutations);
-        for (Write write : Iterables.concat(urgentQueue, normalQueue)) {
+        for (Write write : queues.inOrder()) {
             if (!batch.tryAdd(write)) {
                 break;
             }
@@ -282,17 +250,15 @@
     }
 
     private void send(List<Write> batch) {
-        inFlight++;
-        long transactionNumber = ++newestTransactionNumber;
-        newestSentAtSeconds = loop.nowSeconds();
-        newestHasEnded = false;
-        loop.schedule(SLOW_TRANSACTION_SECONDS + SLOW_CHECK_MARGIN_SECONDS, this::sendNext);
+        long transactionNumber = window.onSent(loop.nowSeconds());
+        loop.schedule(
+                TransactionWindow.SLOW_TRANSACTION_SECONDS + SLOW_CHECK_MARGIN_SECONDS,
+                this::sendNext);
         stateWriter.commit(
                 WriteBatch.conditionsOf(batch),
                 WriteBatch.mutationsOf(batch),
                 result -> {
-                    inFlight--;
-                    newestHasEnded |= transactionNumber == newestTransactionNumber;
+                    window.onEnded(transactionNumber);
                     complete(batch, result);
                     sendNext();
                 });
@@ -327,7 +293,7 @@
             boolean isRetried = rateLimited || write.whenUnavailable() == WhenUnavailable.RETRY;
             (isRetried ? retried : ended).add(write);
         }
-        requeue(retried);
+        queues.putBack(retried);
         notifyListeners(ended, Outcome.NOT_EXECUTED, 0);
         pauseFor(NOT_EXECUTED_PAUSE_SECONDS);
     }
@@ -345,7 +311,7 @@
                     batch.size(),
                     errorMessage,
                     maxWritesPerTransaction);
-            requeue(batch);
+            queues.putBack(batch);
             return;
         }
         maxWritesPerTransaction = Integer.MAX_VALUE;
@@ -368,7 +334,7 @@
         for (Write write : batch) {
             (hasFailedCondition(write, failedKeys) ? conflicted : retried).add(write);
         }
-        requeue(retried);
+        queues.putBack(retried);
         notifyListeners(conflicted, Outcome.CONFLICT, 0);
     }
 
@@ -384,13 +350,6 @@
         return false;
     }
 
-    /** Puts writes back at the front of their queues, in their order. */
-    private void requeue(List<Write> batch) {
-        for (int i = batch.size() - 1; i >= 0; i--) {
-            queueOf(batch.get(i)).addFirst(batch.get(i));
-        }
-    }
-
     private static void notifyListeners(List<Write> writes, Outcome outcome, long revision) {
         for (Write write : writes) {
             write.listener().onOutcome(outcome, revision);
