Group commit: a listener that throws leaves no other write waiting

Correction: all listeners are told, and the queue goes on in any case. Expired writes end in an event of their own. A transaction ends once; one that throws while it is sent ends with an unknown outcome, after which owners read what is stored.

--- a/src/main/java/io/kelphoist/statestore/GroupCommitter.java
+++ b/src/main/java/io/kelphoist/statestore/GroupCommitter.java
@@ -1,5 +1,6 @@
 package io.kelphoist.statestore;
 
+import io.kelphoist.eventloop.Callbacks;
 import io.kelphoist.eventloop.EventLoop;
 import io.kelphoist.statestore.protocol.RecordMutation;
 import io.kelphoist.statestore.protocol.StateStoreResult;
@@ -98,7 +99,7 @@
         void onOutcome(Outcome outcome, long revision);
     }
 
-    /** Upper bound of the size that a write's key and conditions add to that of its value. */
+    /** Upper bound of what a write's key and conditions add to the size of its value. */
     public static final int KEY_OVERHEAD_BYTES = 200;
 
     /**
@@ -183,9 +184,8 @@
             return;
         }
         double nowSeconds = loop.nowSeconds();
-        notifyListeners(queues.pollExpired(nowSeconds), Outcome.NOT_EXECUTED, 0);
-        // The listeners of expired writes may have submitted and sent others.
-        if (mustWait() || queues.isEmpty()) {
+        endExpired(nowSeconds);
+        if (queues.isEmpty()) {
             return;
         }
         List<Write> writes = withinMutationLimit(nextBatch(), nowSeconds);
@@ -195,6 +195,18 @@
         }
     }
 
+    /**
+     * Ends expired writes. Their listeners run as a separate event, since what they throw must not
+     * reach the caller that submits another write.
+     */
+    private void endExpired(double nowSeconds) {
+        List<Write> expired = queues.pollExpired(nowSeconds);
+        if (!expired.isEmpty()) {
+            loop.schedule(
+                    /* delaySeconds= */ 0, () -> notifyListeners(expired, Outcome.NOT_EXECUTED, 0));
+        }
+    }
+
     /**
      * Returns whether no transaction may be sent now. A timer or a response triggers the next
      * attempt.
@@ -250,18 +262,46 @@
     }
 
     private void send(List<Write> batch) {
-        long transactionNumber = window.onSent(loop.nowSeconds());
+        Transaction transaction = new Transaction(batch, window.onSent(loop.nowSeconds()));
         loop.schedule(
                 TransactionWindow.SLOW_TRANSACTION_SECONDS + SLOW_CHECK_MARGIN_SECONDS,
                 this::sendNext);
-        stateWriter.commit(
-                WriteBatch.conditionsOf(batch),
-                WriteBatch.mutationsOf(batch),
-                result -> {
-                    window.onEnded(transactionNumber);
-                    complete(batch, result);
-                    sendNext();
-                });
+        try {
+            stateWriter.commit(
+                    WriteBatch.conditionsOf(batch),
+                    WriteBatch.mutationsOf(batch),
+                    transaction::end);
+        } catch (RuntimeException | Error e) {
+            LOG.error("transaction failed while it was sent: writes={}", batch.size(), e);
+            StateStoreResult<Long> outcome = new StateStoreResult.OutcomeUnknown<>();
+            loop.schedule(/* delaySeconds= */ 0, () -> transaction.end(outcome));
+        }
+    }
+
+    /** A transaction that was sent. Ends once, since it counts as in flight until then. */
+    private final class Transaction {
+        private final List<Write> writes;
+        private final long number;
+        private boolean hasEnded;
+
+        Transaction(List<Write> writes, long number) {
+            this.writes = writes;
+            this.number = number;
+        }
+
+        void end(StateStoreResult<Long> result) {
+            if (hasEnded) {
+                return;
+            }
+            hasEnded = true;
+            window.onEnded(number);
+            try {
+                complete(writes, result);
+            } finally {
+                // Also if a listener throws, as the queued writes of others wait for this call.
+                sendNext();
+            }
+        }
     }
 
     private void complete(List<Write> batch, StateStoreResult<Long> result) {
@@ -294,8 +334,11 @@
             (isRetried ? retried : ended).add(write);
         }
         queues.putBack(retried);
-        notifyListeners(ended, Outcome.NOT_EXECUTED, 0);
-        pauseFor(NOT_EXECUTED_PAUSE_SECONDS);
+        try {
+            notifyListeners(ended, Outcome.NOT_EXECUTED, 0);
+        } finally {
+            pauseFor(NOT_EXECUTED_PAUSE_SECONDS);
+        }
     }
 
     /**
@@ -350,9 +393,8 @@
         return false;
     }
 
+    /** Tells the listener of each write its outcome, whatever another listener throws. */
     private static void notifyListeners(List<Write> writes, Outcome outcome, long revision) {
-        for (Write write : writes) {
-            write.listener().onOutcome(outcome, revision);
-        }
+        Callbacks.forEach(writes, write -> write.listener().onOutcome(outcome, revision));
     }
 }
--- a/src/test/java/io/kelphoist/statestore/GroupCommitterTest.java
+++ b/src/test/java/io/kelphoist/statestore/GroupCommitterTest.java
@@ -1,6 +1,7 @@
 package io.kelphoist.statestore;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kelphoist.statestore.protocol.RecordMutation;
@@ -30,9 +31,14 @@
     /** Key and outcome of each write that has ended. */
     private final List<String> outcomes = new ArrayList<>();
 
+    private boolean failsToSend;
+
     private final GroupCommitter committer =
             new GroupCommitter(
                     (conditions, mutations, callback) -> {
+                        if (failsToSend) {
+                            throw new StackOverflowError();
+                        }
                         sent.add(mutations);
                         callbacks.add(callback);
                     },
@@ -42,18 +48,24 @@
 
     private void write(String key) {
         committer.submit(
-                new GroupCommitter.Write(
-                        List.of(new VersionCondition(key, /* version= */ 0)),
-                        List.of(
-                                new RecordMutation(
-                                        key, MessageEncoding.newObject(), /* leaseId= */ 0)),
-                        /* sizeBytes= */ 10,
+                newWrite(
+                        key,
                         /* expiresAtSeconds= */ 100,
-                        GroupCommitter.Urgency.URGENT,
-                        GroupCommitter.WhenUnavailable.FAIL,
                         (outcome, revision) -> outcomes.add(key + " " + outcome)));
     }
 
+    private static GroupCommitter.Write newWrite(
+            String key, double expiresAtSeconds, GroupCommitter.OutcomeListener listener) {
+        return new GroupCommitter.Write(
+                List.of(new VersionCondition(key, /* version= */ 0)),
+                List.of(new RecordMutation(key, MessageEncoding.newObject(), /* leaseId= */ 0)),
+                /* sizeBytes= */ 10,
+                expiresAtSeconds,
+                GroupCommitter.Urgency.URGENT,
+                GroupCommitter.WhenUnavailable.FAIL,
+                listener);
+    }
+
     private void respond(int transactionIndex, StateStoreResult<Long> result) {
         callbacks.get(transactionIndex).accept(result);
     }
@@ -145,4 +157,67 @@
                 "expected the rate-limited write and the later one in one transaction, was "
                         + sent.get(2));
     }
+
+    /** Guards against writes that never end because the listener of another write throws. */
+    @Test
+    void listenerThatThrowsLeavesNoOtherWriteWaiting() {
+        writeWithFailingListener("first", /* expiresAtSeconds= */ 100);
+        writeWithFailingListener("a", /* expiresAtSeconds= */ 100);
+        write("b");
+        loop.advance(0.2);
+        assertThrows(StackOverflowError.class, () -> respond(0, stored(5)));
+        assertEquals(2, sent.size(), "queued writes are not sent");
+        write("c");
+        loop.advance(0.2);
+        assertThrows(StackOverflowError.class, () -> respond(1, stored(6)));
+        assertEquals(List.of("b STORED"), outcomes);
+        respond(2, stored(7));
+        assertEquals(List.of("b STORED", "c STORED"), outcomes);
+    }
+
+    /** Guards against a submission that fails because the listener of an expired write throws. */
+    @Test
+    void listenerOfAnExpiredWriteThatThrowsDoesNotFailAnotherSubmission() {
+        for (int i = 0; i < GroupCommitter.MAX_IN_FLIGHT; i++) {
+            write("in flight " + i);
+            loop.advance(0.3);
+        }
+        writeWithFailingListener("expired", /* expiresAtSeconds= */ 1);
+        loop.advance(1);
+        respond(0, new StateStoreResult.OutcomeUnknown<>());
+        write("next");
+        assertThrows(StackOverflowError.class, () -> loop.advance(0.01));
+        respond(GroupCommitter.MAX_IN_FLIGHT, stored(5));
+        assertEquals(List.of("in flight 0 UNKNOWN", "next STORED"), outcomes);
+    }
+
+    /**
+     * Guards against transactions that could not be sent and count as in flight for ever, so that
+     * after {@link GroupCommitter#MAX_IN_FLIGHT} of them none is sent any more.
+     */
+    @Test
+    void transactionsThatCannotBeSentLeaveNoOtherWriteWaiting() {
+        failsToSend = true;
+        for (int i = 0; i < 2 * GroupCommitter.MAX_IN_FLIGHT; i++) {
+            write("failing " + i);
+            loop.advance(1);
+            assertEquals(List.of("failing " + i + " UNKNOWN"), outcomes);
+            outcomes.clear();
+        }
+        failsToSend = false;
+        write("next");
+        assertEquals(1, sent.size());
+        respond(0, stored(5));
+        assertEquals(List.of("next STORED"), outcomes);
+    }
+
+    private void writeWithFailingListener(String key, double expiresAtSeconds) {
+        committer.submit(
+                newWrite(
+                        key,
+                        expiresAtSeconds,
+                        (outcome, revision) -> {
+                            throw new StackOverflowError();
+                        }));
+    }
 }
