Record watcher: a listener that throws does not end the watch

What it threw ended the watch for good, and with it a controller's knowledge of jobs and cancellations; a new leader that was catching up waited for ever.

Correction: records on which the listener throws count as not delivered. The error is logged, the listener is told that its records may be outdated, and they are requested again after the pause of a failed request. Records are applied by version, so that a part that was applied before does no harm.

--- a/src/main/java/io/kelphoist/statestore/RecordWatcher.java
+++ b/src/main/java/io/kelphoist/statestore/RecordWatcher.java
@@ -13,7 +13,8 @@
 
 /**
  * Watches the records below a prefix: reads a snapshot, and then the changes after its revision. If
- * changes may have been missed, it reads a new snapshot.
+ * changes may have been missed, it reads a new snapshot. Records on which the listener fails are
+ * delivered again, possibly after a part of them was applied, so that it must compare versions.
  *
  * <p>One request is in flight at a time, so that the listener receives all changes in order. The
  * exception is a watch request that is still in flight after {@link #stop} or {@link #catchUp}: if
@@ -247,21 +248,24 @@
             listener.onStale();
             return false;
         }
-        deliveredRevision = snapshot.get().revision();
-        listener.onSnapshot(snapshot.get(), requestedAtSeconds);
-        return true;
+        return deliver(
+                snapshot.get().revision(),
+                () -> listener.onSnapshot(snapshot.get(), requestedAtSeconds));
     }
 
     /**
-     * Delivers changes to the listener. Returns false if the result is not a success; an empty list
-     * of changes is one.
+     * Delivers changes to the listener. Returns false if the result is not a success, or if the
+     * listener has failed; an empty list of changes is a success.
      */
     private boolean applyChanges(
             StateStoreResult<StoredChanges> result, double requestedAtSeconds) {
         if (result instanceof StateStoreResult.Success<StoredChanges> success) {
-            deliveredRevision = Math.max(deliveredRevision, success.value().revision());
-            listener.onChanges(success.value().changes(), deliveredRevision, requestedAtSeconds);
-            return true;
+            long revision = Math.max(deliveredRevision, success.value().revision());
+            return deliver(
+                    revision,
+                    () ->
+                            listener.onChanges(
+                                    success.value().changes(), revision, requestedAtSeconds));
         }
         if (result.isRejectedFor(Reason.COMPACTED)) {
             LOG.info(
@@ -274,6 +278,32 @@
         return false;
     }
 
+    /**
+     * Passes records up to a revision to the listener. If it throws, they count as not delivered,
+     * and are requested again after a pause: otherwise the watch would end without a sign, or go on
+     * without these records.
+     */
+    private boolean deliver(long revision, Runnable delivery) {
+        long previousRevision = deliveredRevision;
+        long previousEpoch = revisionEpoch;
+        deliveredRevision = revision;
+        try {
+            delivery.run();
+            return true;
+        } catch (RuntimeException | Error e) {
+            if (revisionEpoch == previousEpoch) {
+                deliveredRevision = previousRevision;
+            }
+            LOG.error(
+                    "records not delivered, requested again: prefix={} revision={}",
+                    prefix,
+                    previousRevision,
+                    e);
+            listener.onStale();
+            return false;
+        }
+    }
+
     private void discardRevision() {
         deliveredRevision = NO_REVISION;
         revisionEpoch++;
