--- a/src/test/java/io/kelphoist/admission/AdmissionCallbackFailureTest.java
+++ b/src/test/java/io/kelphoist/admission/AdmissionCallbackFailureTest.java
@@ -5,10 +5,6 @@
 
 import io.kelphoist.model.JobSpec;
 import io.kelphoist.model.JobSpecBuilder;
-import io.kelphoist.model.MachineType;
-import io.kelphoist.model.Resources;
-import io.kelphoist.model.Team;
-import io.kelphoist.statestore.GroupCommitter;
 import io.kelphoist.statestore.StateStoreSimulation;
 import java.util.ArrayList;
 import java.util.List;
@@ -33,10 +29,7 @@
     /** Longer than the reads and writes of a request take together in the simulation. */
     private static final double RESPONSE_SECONDS = 30;
 
-    private static final Team TEAM =
-            new Team("t", new Resources(1e6, 4, 1e6), /* limit= */ new Resources(1e6, 8, 1e6));
-    private static final MachineType TYPE =
-            new MachineType("m", new Resources(8, 2, 64), 50, 1, 8, 3, 25, List.of("a"));
+    private static final double CANCELLATION_TIMEOUT_SECONDS = 30;
 
     // Counted over all tries, to check that failures were frequent and met waiting requests.
     private static int failures;
@@ -50,18 +43,8 @@
     private void reset(int seed) {
         store = new StateStoreSimulation(seed, /* startSeconds= */ 0);
         admission =
-                Admission.create(
-                        new Admission.StoreAccess(
-                                store, new GroupCommitter(store, store, 1e6, 48)::submit),
-                        store,
-                        () -> 1,
-                        new FixedMachineTypes(List.of(TYPE)),
-                        new AdmissionSettings(
-                                List.of(TEAM),
-                                List.of("a"),
-                                /* maxValueKilobytes= */ 4,
-                                /* cancellationTimeoutSeconds= */ 30),
-                        record -> {});
+                AdmissionFixtures.create(
+                        store, store, store, CANCELLATION_TIMEOUT_SECONDS, record -> {});
         requests = new ArrayList<>();
     }
 
--- a/src/test/java/io/kelphoist/admission/AdmissionSimulationTest.java
+++ b/src/test/java/io/kelphoist/admission/AdmissionSimulationTest.java
@@ -7,10 +7,6 @@
 import io.kelphoist.model.JobSpec;
 import io.kelphoist.model.JobSpecBuilder;
 import io.kelphoist.model.JobStatus;
-import io.kelphoist.model.MachineType;
-import io.kelphoist.model.Resources;
-import io.kelphoist.model.Team;
-import io.kelphoist.statestore.GroupCommitter;
 import io.kelphoist.statestore.StateStoreSimulation;
 import io.kelphoist.statestore.StoredJobs;
 import java.util.ArrayList;
@@ -44,10 +40,6 @@
     private static final int JOBS = 8;
     private static final int CONTROLLERS = 3;
     private static final double CANCELLATION_TIMEOUT_SECONDS = 30;
-    private static final Team TEAM =
-            new Team("t", new Resources(1e6, 4, 1e6), /* limit= */ new Resources(1e6, 8, 1e6));
-    private static final MachineType TYPE =
-            new MachineType("m", new Resources(8, 2, 64), 50, 1, 8, 3, 25, List.of("a"));
 
     // Counted over all tries, to check that the faults and their effects were frequent enough.
     private static int finalResponses;
@@ -68,15 +60,8 @@
         boolean refusedByStore;
         final StateStoreSimulation.View view = store.viewFor(() -> refusedByStore);
         final Admission admission =
-                Admission.create(
-                        new Admission.StoreAccess(
-                                view, new GroupCommitter(view, store, 1e6, 48)::submit),
-                        store,
-                        () -> 1,
-                        new FixedMachineTypes(List.of(TYPE)),
-                        new AdmissionSettings(
-                                List.of(TEAM), List.of("a"), 4, CANCELLATION_TIMEOUT_SECONDS),
-                        this::beforeResponse);
+                AdmissionFixtures.create(
+                        view, view, store, CANCELLATION_TIMEOUT_SECONDS, this::beforeResponse);
 
         private void beforeResponse(JobRecord record) {
             if (record.status() == JobStatus.CANCELLED) {
