--- a/src/test/java/io/kelphoist/failover/CommandDelivery.java
+++ b/src/test/java/io/kelphoist/failover/CommandDelivery.java
@@ -86,14 +86,29 @@
     /**
      * The worker executes the request, or refuses it if its term or its agent epoch is not current.
      */
-    void deliver(SimulationChecker checker) {
+    void deliver(SimulationChecker checker, CommandCopies copies) {
         worker.expireLease();
         checker.checkHeartbeatsBeforeStart(this);
-        boolean executed =
-                agentEpoch == worker.agentEpoch() && worker.execute(leader.term(), commands);
+        boolean executed = execute();
         complete(
                 executed ? DeliveryOutcome.EXECUTED : DeliveryOutcome.REFUSED,
                 worker.createHeartbeat());
+        if (executed) {
+            copies.onExecuted(this);
+        }
+    }
+
+    /**
+     * A copy of this request, which the worker executed before, arrives. Returns whether the worker
+     * executes it, too.
+     */
+    boolean deliverCopy() {
+        worker.expireLease();
+        return execute();
+    }
+
+    private boolean execute() {
+        return agentEpoch == worker.agentEpoch() && worker.execute(leader.term(), commands);
     }
 
     /**
--- a/src/test/java/io/kelphoist/failover/FailoverSimulation.java
+++ b/src/test/java/io/kelphoist/failover/FailoverSimulation.java
@@ -11,9 +11,10 @@
  * of the network, the machines, the state store and the controllers.
  *
  * <ul>
- *   <li>Commands of earlier leaders arrive after a delay. Copies of heartbeats arrive up to three
- *       lease durations late, or are the first messages that the next leader receives. Connectivity
- *       may be lost in one direction only.
+ *   <li>Commands of earlier leaders arrive after a delay, and commands that were executed and
+ *       answered may arrive once more. Copies of heartbeats arrive up to three lease durations
+ *       late, or are the first messages that the next leader receives. Connectivity may be lost in
+ *       one direction only.
  *   <li>Workers restart and number their agent epochs from 1 again. The cloud terminates machines
  *       with or without a termination notice, and its responses to scale-out requests may be lost.
  *   <li>The state store is unavailable, refuses only the leader's requests, commits transactions
@@ -40,6 +41,7 @@
     private final SimulationChecker checker;
     private final StateStoreSimulation store;
     private final SimulatedFleet fleet;
+    private final CommandCopies commandCopies;
     private final SimulatedNetwork network;
     private final Leadership leadership;
     private final HeartbeatChannel heartbeats;
@@ -66,7 +68,8 @@
         store.setChangeListener(stateStore::onStored);
         store.limitMutationRate(size.writesPerSecond());
         fleet = new SimulatedFleet(context, tasks, checker, queueWaits, store);
-        network = new SimulatedNetwork(context, checker);
+        commandCopies = new CommandCopies(context);
+        network = new SimulatedNetwork(context, checker, commandCopies);
         SimulatedLeader.Dependencies dependencies =
                 new SimulatedLeader.Dependencies(
                         context,
@@ -233,6 +236,21 @@
         network.dropConnectionsTo(fleet.worker(worker));
     }
 
+    /** A task that runs on the worker fails. */
+    void failTask(int worker) {
+        fleet.failTaskOn(fleet.worker(worker));
+    }
+
+    /** Sets whether the worker refuses all starts for lack of resources. */
+    void setRefusesStarts(int worker, boolean refuses) {
+        fleet.worker(worker).setRefusesStarts(refuses);
+    }
+
+    /** Copies of all commands that workers have executed in this run arrive at once. */
+    void repeatExecutedCommands() {
+        commandCopies.deliverAllAgain();
+    }
+
     void finishTask(int worker) {
         fleet.finishTaskOn(fleet.worker(worker));
     }
--- a/src/test/java/io/kelphoist/failover/SimulatedFleet.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedFleet.java
@@ -168,6 +168,13 @@
                 .ifPresent(task -> finish(task, worker));
     }
 
+    /** A task that runs on the worker exits with an error. */
+    void failTaskOn(SimulatedWorker worker) {
+        worker.attempts().keySet().stream()
+                .findFirst()
+                .ifPresent(task -> worker.exit(task, ExitReason.ERROR, false));
+    }
+
     private boolean mayFinish(String task, long attempt) {
         return !SimulatedTasks.isGangTask(task) || isGangComplete(task, attempt);
     }
--- a/src/test/java/io/kelphoist/failover/SimulatedNetwork.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedNetwork.java
@@ -13,12 +13,14 @@
 
     private final SimulationContext context;
     private final SimulationChecker checker;
+    private final CommandCopies copies;
     private final List<CommandDelivery> deliveries = new ArrayList<>();
     private final List<Runnable> nextStepOutcomes = new ArrayList<>();
 
-    SimulatedNetwork(SimulationContext context, SimulationChecker checker) {
+    SimulatedNetwork(SimulationContext context, SimulationChecker checker, CommandCopies copies) {
         this.context = context;
         this.checker = checker;
+        this.copies = copies;
     }
 
     void send(CommandDelivery delivery) {
@@ -63,7 +65,7 @@
                 && !worker.isInboundBlocked()
                 && context.random().nextInt(10) >= delayedPerTen) {
             deliveries.remove(delivery);
-            delivery.deliver(checker);
+            delivery.deliver(checker, copies);
         } else if (context.random().nextInt(MEAN_STEPS_PER_DROP) == 0) {
             deliveries.remove(delivery);
             delivery.complete(DeliveryOutcome.NO_RESPONSE, null);
--- a/src/test/java/io/kelphoist/failover/SimulatedWorker.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedWorker.java
@@ -9,12 +9,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 
 /**
  * A worker. It executes the commands of a leader whose fencing token is not older than the newest
@@ -55,13 +53,10 @@
     /** The ids of running attempts by task. */
     private final Map<String, Long> attempts = new LinkedHashMap<>();
 
-    private final Map<String, ExitReason> exitReasonsByAttempt = new LinkedHashMap<>();
+    private final ExitedAttempts exitedAttempts = new ExitedAttempts();
     private final Map<String, Double> startedAtSeconds = new HashMap<>();
     private final Map<String, Double> saveEndsAtSeconds = new HashMap<>();
 
-    /** Exited attempts that saved a checkpoint. */
-    private final Set<String> savedAttempts = new HashSet<>();
-
     private long fencingToken;
     private long agentEpoch = 1;
     private long heartbeatSequence;
@@ -70,6 +65,7 @@
     private boolean partitioned;
     private boolean inboundBlocked;
     private boolean outboundBlocked;
+    private boolean refusesStarts;
     private double lastHeartbeatReceivedAtSeconds;
     private boolean terminated;
     private double terminatesAtSeconds = Double.POSITIVE_INFINITY;
@@ -154,6 +150,11 @@
         return outboundBlocked;
     }
 
+    /** Sets whether all starts are refused for lack of resources. */
+    void setRefusesStarts(boolean refuses) {
+        refusesStarts = refuses;
+    }
+
     /**
      * The cloud terminates the machine at this time. The worker reports the termination notice in
      * its heartbeats.
@@ -220,9 +221,8 @@
 
     Heartbeat createHeartbeat() {
         List<TaskStatus> statuses = new ArrayList<>();
-        attempts.forEach(
-                (task, attempt) -> statuses.add(status(task, attempt, phase(task, attempt), null)));
-        exitReasonsByAttempt.forEach((key, reason) -> statuses.add(exitStatus(key, reason)));
+        attempts.forEach((task, attempt) -> statuses.add(status(task, attempt)));
+        statuses.addAll(exitedAttempts.statuses());
         Double notice =
                 terminatesAtSeconds == Double.POSITIVE_INFINITY
                         ? null
@@ -240,23 +240,14 @@
                 statuses);
     }
 
-    private TaskStatus exitStatus(String attemptKey, ExitReason reason) {
-        int separator = attemptKey.indexOf('@');
-        return status(
-                attemptKey.substring(0, separator),
-                Long.parseLong(attemptKey.substring(separator + 1)),
-                TaskPhase.EXITED,
-                reason);
-    }
-
-    private TaskStatus status(String task, long attempt, TaskPhase phase, ExitReason reason) {
+    private TaskStatus status(String task, long attempt) {
         return new TaskStatus(
                 SimulatedTasks.jobOf(task),
                 SimulatedTasks.indexOf(task),
                 attempt,
-                phase,
-                reason,
-                savedAttempts.contains(SimulatedTasks.attemptKey(task, attempt)));
+                phase(task, attempt),
+                /* exitReason= */ null,
+                /* checkpointSaved= */ false);
     }
 
     private TaskPhase phase(String task, long attempt) {
@@ -308,12 +299,10 @@
      * A running attempt exits; its exit reason is reported until the leader sends a forget command.
      */
     void exit(String task, ExitReason reason, boolean withCheckpoint) {
-        String key = SimulatedTasks.attemptKey(task, attempts.remove(task));
-        exitReasonsByAttempt.put(key, reason);
+        exitedAttempts.add(task, attempts.remove(task), reason, withCheckpoint);
         startedAtSeconds.remove(task);
         saveEndsAtSeconds.remove(task);
         if (withCheckpoint) {
-            savedAttempts.add(key);
             context.counters().increment(Counter.CHECKPOINTS_SAVED);
         }
     }
@@ -333,10 +322,9 @@
 
     private void execute(WorkerCommand command) {
         String task = SimulatedTasks.taskName(command.jobId(), command.taskIndex());
-        String key = SimulatedTasks.attemptKey(task, command.attemptId());
         boolean isRunning = Objects.equals(attempts.get(task), command.attemptId());
         if (command instanceof WorkerCommand.Start) {
-            if (!exitReasonsByAttempt.containsKey(key) && !isRunning) {
+            if (!exitedAttempts.contains(task, command.attemptId()) && !isRunning) {
                 start(task, command.attemptId());
             }
         } else if (command instanceof WorkerCommand.Stop stop) {
@@ -344,20 +332,23 @@
                 stop(task, stop);
             }
         } else if (command instanceof WorkerCommand.Forget) {
-            exitReasonsByAttempt.remove(key);
+            exitedAttempts.forget(task, command.attemptId());
         }
     }
 
     private void start(String task, long attempt) {
-        String key = SimulatedTasks.attemptKey(task, attempt);
         if (attempts.containsKey(task)) {
-            exitReasonsByAttempt.put(key, ExitReason.BUSY);
+            exitedAttempts.add(task, attempt, ExitReason.BUSY, false);
+            return;
+        }
+        if (refusesStarts) {
+            exitedAttempts.add(task, attempt, ExitReason.INSUFFICIENT_RESOURCES, false);
             return;
         }
         fleet.onTaskStarting(task, this);
         if (tasks.isDone(task)) {
             // The result of the earlier attempt still exists, so the new attempt exits at once.
-            exitReasonsByAttempt.put(key, ExitReason.DONE);
+            exitedAttempts.add(task, attempt, ExitReason.DONE, false);
         } else {
             attempts.put(task, attempt);
             startedAtSeconds.put(task, context.nowSeconds());
@@ -383,7 +374,7 @@
 
     private void removeAllTasks() {
         attempts.clear();
-        exitReasonsByAttempt.clear();
+        exitedAttempts.clear();
         startedAtSeconds.clear();
         saveEndsAtSeconds.clear();
     }
--- a/src/test/java/io/kelphoist/failover/SimulationChecker.java
+++ b/src/test/java/io/kelphoist/failover/SimulationChecker.java
@@ -47,8 +47,9 @@
     // ---- starts ----
 
     /**
-     * A task must not run on two machines, and must not start before the jobs that its job depends
-     * on are done.
+     * A task must not run on two machines, must not start before the jobs that its job depends on
+     * are done, and must not start when its job was cancelled {@link #CANCELLATION_TIMEOUT_SECONDS}
+     * ago.
      */
     void checkTaskStart(String task, SimulatedWorker worker, List<SimulatedWorker> workers) {
         for (SimulatedWorker other : workers) {
@@ -65,6 +66,7 @@
             }
         }
         JobRecord job = jobs.get(SimulatedTasks.jobOf(task));
+        checkNotLongCancelled(task, worker);
         for (String dependency : jobs.dependenciesOf(job.id())) {
             if (!jobs.isDone(dependency)) {
                 throw new AssertionError(
@@ -214,23 +216,25 @@
      * the acknowledgement.
      */
     void checkCancelledTasksStopped(List<SimulatedWorker> workers) {
-        double now = context.nowSeconds();
         for (SimulatedWorker worker : workers) {
-            for (String task : worker.attempts().keySet()) {
-                double acknowledgedAt =
-                        cancellations.acknowledgedAtSeconds(SimulatedTasks.jobOf(task), now);
-                if (now > acknowledgedAt + CANCELLATION_TIMEOUT_SECONDS) {
-                    throw new AssertionError(
-                            "task of a cancelled job still runs: task="
-                                    + task
-                                    + " machine="
-                                    + worker.name()
-                                    + " nowSeconds="
-                                    + now
-                                    + " acknowledgedAtSeconds="
-                                    + acknowledgedAt);
-                }
-            }
+            worker.attempts().keySet().forEach(task -> checkNotLongCancelled(task, worker));
+        }
+    }
+
+    private void checkNotLongCancelled(String task, SimulatedWorker worker) {
+        double now = context.nowSeconds();
+        double acknowledgedAt =
+                cancellations.acknowledgedAtSeconds(SimulatedTasks.jobOf(task), now);
+        if (now > acknowledgedAt + CANCELLATION_TIMEOUT_SECONDS) {
+            throw new AssertionError(
+                    "task of a cancelled job still runs: task="
+                            + task
+                            + " machine="
+                            + worker.name()
+                            + " nowSeconds="
+                            + now
+                            + " acknowledgedAtSeconds="
+                            + acknowledgedAt);
         }
     }
 
--- a/src/test/java/io/kelphoist/failover/SimulationCounters.java
+++ b/src/test/java/io/kelphoist/failover/SimulationCounters.java
@@ -16,6 +16,8 @@
         MACHINES_TERMINATED,
         MACHINES_SCALED_OUT,
         HEARTBEAT_COPIES_DELIVERED,
+        /** Copies of direct commands that workers executed again. */
+        COMMAND_COPIES_EXECUTED,
         HEARTBEATS_KEPT_FOR_NEXT_LEADER,
         JOBS_CANCELLED,
         JOBS_DONE,
