--- a/src/main/java/io/kelphoist/controller/ControllerMetrics.java
+++ b/src/main/java/io/kelphoist/controller/ControllerMetrics.java
@@ -65,6 +65,10 @@
                 "kelphoist.reports.seconds",
                 "Time that the leader spent on heartbeats",
                 ControllerCounters::heartbeatSeconds);
+        registerGauge(
+                "kelphoist.reports.held",
+                "Heartbeats whose response the leader holds for a start",
+                c -> c.terms().current().map(LeaderTerm::heldResponseCount).orElse(0));
         registerCounter(
                 "kelphoist.withheld",
                 "Lease renewals and starts that the leader withheld because its cancellation"
@@ -81,6 +85,7 @@
                 "kelphoist.decisions.seconds",
                 "Time that the leader spent on scheduling decisions",
                 ControllerCounters::decisionSeconds);
+        registerStartMetrics();
         registerCounter(
                 "kelphoist.orders",
                 "Deliveries of commands to workers outside of heartbeat responses",
@@ -103,6 +108,21 @@
                 ControllerCounters::refusedRequestsCutOff);
     }
 
+    private void registerStartMetrics() {
+        registerCounter(
+                "kelphoist.starts",
+                "Task starts sent for the first time",
+                ControllerCounters::startsSent);
+        registerCounter(
+                "kelphoist.starts.repeated",
+                "Task starts sent again, as the worker did not receive them",
+                ControllerCounters::startsRepeated);
+        registerCounter(
+                "kelphoist.starts.wait.seconds",
+                "Time from the decision of task starts until they were sent",
+                ControllerCounters::startWaitSeconds);
+    }
+
     private void registerUserMetrics() {
         for (AdmissionResult.DeferralReason cause : AdmissionResult.DeferralReason.values()) {
             FunctionCounter.builder(
--- a/src/main/java/io/kelphoist/heartbeat/HeartbeatEndpoint.java
+++ b/src/main/java/io/kelphoist/heartbeat/HeartbeatEndpoint.java
@@ -6,6 +6,7 @@
 import io.kelphoist.metrics.ControllerCounters;
 import io.kelphoist.model.Heartbeat;
 import io.kelphoist.model.HeartbeatResponse;
+import io.kelphoist.scheduler.spi.PendingResponse;
 import io.kelphoist.wire.HttpExchanges;
 import io.kelphoist.wire.MalformedMessageException;
 import io.kelphoist.wire.ReceivedHeartbeat;
@@ -13,6 +14,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,13 +30,19 @@
     /** Responds to heartbeats as the leader. */
     public interface LeaderResponder {
         /**
-         * Returns the response, which renews the worker's lease; empty if this controller must not
-         * renew the lease now.
+         * Responds to a heartbeat, now or within seconds.
          *
          * @param relayAddress IP address of the controller that relayed the heartbeat; empty if the
          *     worker sent it here
+         * @param hold for how long the response may be held
+         * @param onResponse receives the response, which renews the worker's lease; empty if this
+         *     controller must not renew the lease now
          */
-        Optional<HeartbeatResponse> respondToHeartbeat(Heartbeat heartbeat, String relayAddress);
+        void respondToHeartbeat(
+                Heartbeat heartbeat,
+                String relayAddress,
+                PendingResponse.Hold hold,
+                Consumer<Optional<HeartbeatResponse>> onResponse);
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(HeartbeatEndpoint.class);
@@ -98,17 +106,14 @@
         try {
             Heartbeat heartbeat = WorkerCodec.decodeRelayedHeartbeat(body);
             String relayAddress = exchange.getSourceAddress().getAddress().getHostAddress();
-            Optional<HeartbeatResponse> response =
-                    elector.election().state() == Election.State.LEADER
-                            ? leaderResponder.respondToHeartbeat(heartbeat, relayAddress)
-                            : Optional.empty();
-            if (response.isEmpty()) {
-                HttpExchanges.sendStatus(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+            if (elector.election().state() == Election.State.LEADER) {
+                leaderResponder.respondToHeartbeat(
+                        heartbeat,
+                        relayAddress,
+                        PendingResponse.Hold.BRIEF,
+                        response -> sendRelayed(exchange, response));
             } else {
-                HttpExchanges.sendJson(
-                        exchange,
-                        StatusCodes.OK,
-                        WorkerCodec.encodeRelayedHeartbeatResponse(response.get()));
+                HttpExchanges.sendStatus(exchange, StatusCodes.SERVICE_UNAVAILABLE);
             }
         } catch (MalformedMessageException e) {
             counters.onMalformedMessage();
@@ -116,6 +121,18 @@
         }
     }
 
+    private static void sendRelayed(
+            HttpServerExchange exchange, Optional<HeartbeatResponse> response) {
+        if (response.isEmpty()) {
+            HttpExchanges.sendStatus(exchange, StatusCodes.SERVICE_UNAVAILABLE);
+        } else {
+            HttpExchanges.sendJson(
+                    exchange,
+                    StatusCodes.OK,
+                    WorkerCodec.encodeRelayedHeartbeatResponse(response.get()));
+        }
+    }
+
     private void handle(
             HttpServerExchange exchange, ReceivedHeartbeat received, double deferUntilSeconds) {
         double nowSeconds = loop.nowSeconds();
@@ -136,8 +153,21 @@
     private void handleAsLeader(
             HttpServerExchange exchange, Heartbeat heartbeat, double nowSeconds) {
         counters.onDirectHeartbeat(nowSeconds);
-        Optional<HeartbeatResponse> response =
-                leaderResponder.respondToHeartbeat(heartbeat, NOT_RELAYED);
+        // Held for long, a connection that is closed with the response would occupy a socket.
+        PendingResponse.Hold hold =
+                exchange.isPersistent() ? PendingResponse.Hold.LONG : PendingResponse.Hold.BRIEF;
+        leaderResponder.respondToHeartbeat(
+                heartbeat,
+                NOT_RELAYED,
+                hold,
+                response -> sendAsLeader(exchange, heartbeat, response));
+    }
+
+    private void sendAsLeader(
+            HttpServerExchange exchange,
+            Heartbeat heartbeat,
+            Optional<HeartbeatResponse> response) {
+        double nowSeconds = loop.nowSeconds();
         if (response.isPresent()) {
             HttpExchanges.sendCbor(
                     exchange,
--- a/src/main/java/io/kelphoist/leadership/LeaderTerm.java
+++ b/src/main/java/io/kelphoist/leadership/LeaderTerm.java
@@ -7,12 +7,13 @@
 import io.kelphoist.model.HeartbeatResponse;
 import io.kelphoist.model.JobRecord;
 import io.kelphoist.model.JobStatus;
-import io.kelphoist.model.WorkerCommand;
 import io.kelphoist.replication.RecordReplica;
 import io.kelphoist.scheduler.SchedulerState;
 import io.kelphoist.scheduler.cluster.Machine;
+import io.kelphoist.scheduler.spi.PendingResponse;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -64,6 +65,7 @@
     private final SchedulerState schedulerState;
     private final TermRecordStore store;
     private final TermOutput output;
+    private final HeldResponses heldResponses;
     private double nextReconcileAtSeconds;
     private boolean recordsLoaded;
     private boolean ended;
@@ -84,6 +86,12 @@
         this.schedulerState = components.schedulerState;
         this.store = components.store;
         this.output = components.output;
+        this.heldResponses =
+                new HeldResponses(
+                        identity.number,
+                        context.eventLoop(),
+                        () -> mayRespond(election, context),
+                        context.counters());
     }
 
     /** The scheduler of this term. */
@@ -104,6 +112,17 @@
         return recordsLoaded;
     }
 
+    /** Whether this controller may renew leases and start tasks at this moment. */
+    static boolean mayRespond(Election election, LeaderContext context) {
+        return election.isLeader(context.nowSeconds())
+                && context.renewalGate().checkRenewalAllowed();
+    }
+
+    /** How many heartbeats wait for their response, which is held for a start. */
+    public int heldResponseCount() {
+        return heldResponses.size();
+    }
+
     // ---- promotion ----
 
     /**
@@ -177,6 +196,7 @@
     public void decide(double nowSeconds) {
         failover.advance(schedulerState.machines(), nowSeconds);
         schedulerState.tick(nowSeconds);
+        heldResponses.sendDue();
         if (nowSeconds >= nextReconcileAtSeconds && failover.maySchedule(nowSeconds)) {
             nextReconcileAtSeconds = nowSeconds + RECONCILE_INTERVAL_SECONDS;
             RecordReplication records = replication.records();
@@ -190,25 +210,35 @@
     }
 
     /**
-     * Responds to a heartbeat.
+     * Responds to a heartbeat, now or when the response has been held for starts, see {@link
+     * HeldResponses}.
      *
      * @param relayAddress address of the controller that relayed the heartbeat; empty if it came
      *     directly from the worker
-     * @return the response; empty if the heartbeat must not be accepted
+     * @param hold for how long the response may be held
+     * @param onResponse receives the response; empty if the heartbeat must not be accepted
      */
-    Optional<HeartbeatResponse> respondToHeartbeat(Heartbeat heartbeat, String relayAddress) {
+    void respondToHeartbeat(
+            Heartbeat heartbeat,
+            String relayAddress,
+            PendingResponse.Hold hold,
+            Consumer<Optional<HeartbeatResponse>> onResponse) {
         if (!recordsLoaded) {
-            return renewLeaseOnly(heartbeat, identity.number, replication.records().replica());
+            onResponse.accept(
+                    renewLeaseOnly(heartbeat, identity.number, replication.records().replica()));
+            return;
         }
         double receivedAtSeconds = context.nowSeconds();
         // Null if the scheduler does not accept the heartbeat.
-        List<WorkerCommand> commands =
+        PendingResponse accepted =
                 schedulerState.onHeartbeat(heartbeat, relayAddress, receivedAtSeconds);
         context.counters().onHeartbeatHandled(context.nowSeconds() - receivedAtSeconds);
         context.requestTick().run();
-        return commands == null
-                ? Optional.empty()
-                : Optional.of(new HeartbeatResponse(identity.number, commands));
+        if (accepted == null) {
+            onResponse.accept(Optional.empty());
+        } else {
+            heldResponses.respond(accepted, hold, onResponse);
+        }
     }
 
     /**
@@ -268,6 +298,7 @@
      */
     void end() {
         ended = true;
+        heldResponses.close();
         output.close();
         replication.machineStates().onTermEnded(schedulerState);
         replication.records().startFollowing();
--- a/src/main/java/io/kelphoist/leadership/LeaderTermLifecycle.java
+++ b/src/main/java/io/kelphoist/leadership/LeaderTermLifecycle.java
@@ -3,9 +3,11 @@
 import io.kelphoist.election.Election;
 import io.kelphoist.model.Heartbeat;
 import io.kelphoist.model.HeartbeatResponse;
+import io.kelphoist.scheduler.spi.PendingResponse;
 import io.kelphoist.statestore.protocol.StateStoreKeys;
 import io.kelphoist.statestore.protocol.StateStoreResult;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Starts and ends the terms that this controller leads, and owns the current one. A term can start
@@ -87,18 +89,24 @@
      *
      * @param relayAddress address of the controller that relayed the heartbeat; empty if it came
      *     directly from the worker
-     * @return the response; empty if this controller is not the leader, may lack cancellations that
-     *     were confirmed to users, or must not accept the heartbeat
+     * @param hold for how long the response may be held
+     * @param onResponse receives the response, now or later; empty if this controller is not the
+     *     leader, may lack cancellations that were confirmed to users, or must not accept the
+     *     heartbeat
      */
-    public Optional<HeartbeatResponse> respondToHeartbeat(
-            Heartbeat heartbeat, String relayAddress) {
-        if (!election.isLeader(context.nowSeconds())
-                || !context.renewalGate().checkRenewalAllowed()) {
-            return Optional.empty();
+    public void respondToHeartbeat(
+            Heartbeat heartbeat,
+            String relayAddress,
+            PendingResponse.Hold hold,
+            Consumer<Optional<HeartbeatResponse>> onResponse) {
+        if (!LeaderTerm.mayRespond(election, context)) {
+            onResponse.accept(Optional.empty());
+        } else if (current.isPresent()) {
+            current.get().respondToHeartbeat(heartbeat, relayAddress, hold, onResponse);
+        } else {
+            onResponse.accept(
+                    LeaderTerm.renewLeaseOnly(
+                            heartbeat, election.term(), replication.records().replica()));
         }
-        return current.isPresent()
-                ? current.get().respondToHeartbeat(heartbeat, relayAddress)
-                : LeaderTerm.renewLeaseOnly(
-                        heartbeat, election.term(), replication.records().replica());
     }
 }
--- a/src/main/java/io/kelphoist/metrics/ControllerCounters.java
+++ b/src/main/java/io/kelphoist/metrics/ControllerCounters.java
@@ -12,6 +12,9 @@
     private volatile long relayedHeartbeats;
     private volatile long delegatedRenewals;
     private volatile long withheldResponses;
+    private volatile long startsSent;
+    private volatile long startsRepeated;
+    private volatile double startWaitSeconds;
     private volatile long commandsSent;
     private volatile long commandsWithUnknownOutcome;
     private volatile long statusRequests;
@@ -49,6 +52,20 @@
         withheldResponses++;
     }
 
+    /**
+     * Counts the task starts in a response to a heartbeat.
+     *
+     * @param sent how many were sent for the first time
+     * @param repeated how many were sent again, as the worker did not receive them
+     * @param waitSeconds sum of the times from the decision of those that were sent for the first
+     *     time
+     */
+    public void onStartsSent(int sent, int repeated, double waitSeconds) {
+        startsSent += sent;
+        startsRepeated += repeated;
+        startWaitSeconds += waitSeconds;
+    }
+
     /** Counts a delivery of commands to a worker outside of a heartbeat response. */
     public void onCommandsSent() {
         commandsSent++;
@@ -128,6 +145,21 @@
         return withheldResponses;
     }
 
+    /** Number of task starts that were sent for the first time. */
+    public long startsSent() {
+        return startsSent;
+    }
+
+    /** Number of task starts that were sent again. */
+    public long startsRepeated() {
+        return startsRepeated;
+    }
+
+    /** Sum of the times from the decision of each task start until it was sent. */
+    public double startWaitSeconds() {
+        return startWaitSeconds;
+    }
+
     /** Number of deliveries of commands outside of heartbeat responses. */
     public long commandsSent() {
         return commandsSent;
--- a/src/main/java/io/kelphoist/scheduler/SchedulerState.java
+++ b/src/main/java/io/kelphoist/scheduler/SchedulerState.java
@@ -12,7 +12,6 @@
 import io.kelphoist.model.ScaleOutResult;
 import io.kelphoist.model.SchedulingPolicy;
 import io.kelphoist.model.TaskProgress;
-import io.kelphoist.model.WorkerCommand;
 import io.kelphoist.records.PageWriteOutcome;
 import io.kelphoist.scheduler.cluster.Job;
 import io.kelphoist.scheduler.cluster.JobRegistry;
@@ -23,6 +22,7 @@
 import io.kelphoist.scheduler.jobrecords.JobFactory;
 import io.kelphoist.scheduler.jobrecords.JobReconciler;
 import io.kelphoist.scheduler.reachability.DeliveryOutcome;
+import io.kelphoist.scheduler.spi.PendingResponse;
 import io.kelphoist.scheduler.spi.PromotionGate;
 import io.kelphoist.scheduler.spi.SchedulerOutput;
 import java.util.Collection;
@@ -241,13 +241,13 @@
     // ---- workers ----
 
     /**
-     * Handles a heartbeat from a worker; returns the commands for the response, or null if the
-     * heartbeat must be refused, see {@link HeartbeatHandler#onHeartbeat}.
+     * Handles a heartbeat from a worker; returns null if the heartbeat must be refused, see {@link
+     * HeartbeatHandler#onHeartbeat}.
      *
      * @param receivingController the controller that the worker sent the heartbeat to; empty for
      *     this controller
      */
-    public List<WorkerCommand> onHeartbeat(
+    public PendingResponse onHeartbeat(
             Heartbeat heartbeat, String receivingController, double nowSeconds) {
         return components.heartbeatHandler.onHeartbeat(heartbeat, receivingController, nowSeconds);
     }
--- a/src/main/java/io/kelphoist/scheduler/cluster/MachineAttempts.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/MachineAttempts.java
@@ -87,16 +87,47 @@
         return false;
     }
 
-    /** Whether a direct command with the start of an attempt got no response. */
-    boolean hasStartWithUnknownOutcome() {
+    /** Whether the start of an attempt may be sent, and was not sent yet. */
+    public boolean hasDueStart() {
         for (TaskAttempt attempt : attempts) {
-            if (attempt.startOutcomeUnknown()) {
+            if (attempt.isStartDue()) {
                 return true;
             }
         }
         return false;
     }
 
+    /** Whether the start of an attempt was decided and is not stored yet. */
+    public boolean hasUnrecordedStart() {
+        for (TaskAttempt attempt : attempts) {
+            if (attempt.state() == TaskAttempt.State.STARTING && !attempt.startRecorded()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether an attempt that may be on the machine is being stopped. */
+    public boolean hasStopping() {
+        for (TaskAttempt attempt : attempts) {
+            if (attempt.isStopping() && attempt.state().occupiesResources()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether no heartbeat is expected to report a change: there are only running replicas. */
+    public boolean areSteady() {
+        for (TaskAttempt attempt : attempts) {
+            if (attempt.job().spec().kind() != JobKind.SERVICE
+                    || attempt.state() != TaskAttempt.State.RUNNING) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns {@code free} plus the resources of the attempts that are being stopped. */
     Resources addResourcesOfStopping(Resources free) {
         Resources sum = free;
--- a/src/main/java/io/kelphoist/scheduler/cluster/MachineReplication.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/MachineReplication.java
@@ -43,7 +43,7 @@
                 machine.state() != Machine.State.BOOTING,
                 machine.state() == Machine.State.DRAINING && !machine.drainingForScaleIn(),
                 contact.isPossiblyDisconnected(),
-                contact.hasCommandsInFlight() || machine.attempts().hasStartWithUnknownOutcome(),
+                contact.hasCommandsInFlight(),
                 machine.launchedAtSeconds(),
                 machine.terminationAtSeconds());
     }
--- a/src/main/java/io/kelphoist/scheduler/cluster/TaskAttempt.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/TaskAttempt.java
@@ -54,16 +54,10 @@
     private State state = State.STARTING;
     private ExitReason exitReason;
 
-    /** A direct command with its start got no response: it may be executed minutes later. */
-    private boolean startOutcomeUnknown;
-
-    /** A direct command with its start was sent and its outcome is not reported yet. */
-    private boolean startInFlight;
-
     /** Its start is stored at the state store. */
     private boolean startRecorded;
 
-    /** Its start was sent at least once, in a direct command or a response to a heartbeat. */
+    /** Its start was sent at least once, in a response to a heartbeat. */
     private boolean startSent;
 
     /** Its stop was sent since it was last requested. */
@@ -171,7 +165,6 @@
                 + attemptId
                 + " "
                 + state
-                + (startOutcomeUnknown ? " startOutcomeUnknown" : "")
                 + (isStopping() ? " stopping" : "");
     }
 
@@ -277,29 +270,17 @@
     }
 
     /** Called when the start is sent in the response to a heartbeat. */
-    public void onStartSentInResponse() {
+    public void onStartSent() {
         startSent = true;
     }
 
-    /**
-     * Called when the start is sent in a direct command, whose outcome {@link #onStartOutcome}
-     * reports.
-     */
-    public void onStartDispatched() {
-        startSent = true;
-        startInFlight = true;
-    }
-
-    /**
-     * Called for the outcome of a direct command that may have contained the start.
-     *
-     * @param outcomeKnown false: there was no response, so that the start may still be executed
-     */
-    public void onStartOutcome(boolean outcomeKnown) {
-        if (startInFlight) {
-            startInFlight = false;
-            startOutcomeUnknown |= !outcomeKnown;
-        }
+    /** Whether its start may be sent, and was not sent yet. */
+    public boolean isStartDue() {
+        return state == State.STARTING
+                && startRecorded
+                && !startSent
+                && !isStopping()
+                && !isPresumed();
     }
 
     /** Called when a worker lists the attempt and an earlier term started it. */
@@ -308,18 +289,6 @@
         startSent = true;
     }
 
-    /**
-     * Whether a direct command with the start got no response: it may be executed minutes later.
-     */
-    boolean startOutcomeUnknown() {
-        return startOutcomeUnknown;
-    }
-
-    /** Whether a direct command with the start may still be delivered to the worker. */
-    public boolean mayStartArrive() {
-        return startOutcomeUnknown || startInFlight;
-    }
-
     // ---- the stop ----
 
     /** Requests a stop, with {@code graceSeconds} to save a checkpoint. */
--- /dev/null
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/AcceptedHeartbeat.java
@@ -0,0 +1,78 @@
+package io.kelphoist.scheduler.heartbeats;
+
+import io.kelphoist.model.Heartbeat;
+import io.kelphoist.model.WorkerCommand;
+import io.kelphoist.scheduler.cluster.JobRegistry;
+import io.kelphoist.scheduler.cluster.Machine;
+import io.kelphoist.scheduler.spi.PendingResponse;
+import io.kelphoist.scheduler.spi.SentStarts;
+import java.util.List;
+
+/** A heartbeat that was applied to its machine, and whose worker waits for the response. */
+final class AcceptedHeartbeat implements PendingResponse {
+    private static final double BRIEF_HOLD_SECONDS = 0.25;
+
+    /** While a response is held its worker cannot report that a task has ended. */
+    private static final double LONG_HOLD_SECONDS = 2.0;
+
+    /** For machines whose tasks do not end by themselves; a worker waits 4 s for a response. */
+    private static final double STEADY_HOLD_SECONDS = 3.2;
+
+    private static final AcceptedHeartbeat WITHOUT_COMMANDS =
+            new AcceptedHeartbeat(null, null, null, 0);
+
+    private final JobRegistry jobs;
+
+    /** Null: the response has no commands. */
+    private final Machine machine;
+
+    private final Heartbeat heartbeat;
+    private final double acceptedAtSeconds;
+
+    AcceptedHeartbeat(
+            JobRegistry jobs, Machine machine, Heartbeat heartbeat, double acceptedAtSeconds) {
+        this.jobs = jobs;
+        this.machine = machine;
+        this.heartbeat = heartbeat;
+        this.acceptedAtSeconds = acceptedAtSeconds;
+    }
+
+    static AcceptedHeartbeat withoutCommands() {
+        return WITHOUT_COMMANDS;
+    }
+
+    @Override
+    public boolean isDue(Hold hold, double nowSeconds) {
+        return machine == null || nowSeconds >= acceptedAtSeconds + holdSeconds(hold, nowSeconds);
+    }
+
+    private double holdSeconds(Hold hold, double nowSeconds) {
+        if (machine.state() == Machine.State.BOOTING || machine.attempts().hasUnrecordedStart()) {
+            return BRIEF_HOLD_SECONDS;
+        }
+        if (!machine.acceptsWork(nowSeconds)
+                || machine.attempts().hasDueStart()
+                || !hasFreeResources()) {
+            return 0;
+        }
+        if (hold == Hold.BRIEF || machine.attempts().hasStopping()) {
+            return BRIEF_HOLD_SECONDS;
+        }
+        return machine.attempts().areSteady() ? STEADY_HOLD_SECONDS : LONG_HOLD_SECONDS;
+    }
+
+    private boolean hasFreeResources() {
+        return machine.free().cpus() > 0 && machine.free().memoryGb() > 0;
+    }
+
+    @Override
+    public List<WorkerCommand> takeCommands(SentStarts sentStarts, double nowSeconds) {
+        return machine != null && mayReceiveCommands()
+                ? HeartbeatResponder.commands(jobs, machine, heartbeat, sentStarts, nowSeconds)
+                : List.of();
+    }
+
+    private boolean mayReceiveCommands() {
+        return machine.state().isReporting() || machine.state() == Machine.State.TERMINATING;
+    }
+}
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/AttemptReconciler.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/AttemptReconciler.java
@@ -70,7 +70,7 @@
      * Applies the task list of a worker that has seen this term. The list must be newer than the
      * last one applied.
      */
-    void reconcile(Machine machine, Heartbeat heartbeat, double nowSeconds) {
+    void reconcile(Machine machine, Heartbeat heartbeat, MessageKind kind, double nowSeconds) {
         for (TaskStatus taskStatus : heartbeat.tasks()) {
             TaskAttempt attempt = machine.attempts().find(taskStatus);
             if (attempt == null) {
@@ -82,7 +82,7 @@
         }
         for (TaskAttempt attempt : machine.attempts().copy()) {
             if (!isListed(attempt, heartbeat.tasks())) {
-                onNotListed(attempt, nowSeconds);
+                onNotListed(attempt, kind, nowSeconds);
             }
         }
     }
@@ -96,17 +96,12 @@
         return false;
     }
 
-    private void onNotListed(TaskAttempt attempt, double nowSeconds) {
+    private void onNotListed(TaskAttempt attempt, MessageKind kind, double nowSeconds) {
         if (attempt.isPresumed() || attempt.state() == TaskAttempt.State.EXITED) {
             attempts.remove(attempt, nowSeconds);
         } else if (attempt.state() == TaskAttempt.State.STARTING) {
-            // An attempt that is not being stopped stays: responses to heartbeats repeat its start.
-            // One that is being stopped is removed unless its start may still arrive. A start
-            // command in a response to a heartbeat is executed before the worker's next heartbeat
-            // or never. A direct command without a response may be executed at any later time, so
-            // an attempt with such a command stays until the worker lists it.
-            if (attempt.isStopping() && !attempt.mayStartArrive()) {
-                attempts.remove(attempt, nowSeconds);
+            if (kind == MessageKind.HEARTBEAT && attempt.startSent()) {
+                onStartNotReceived(attempt, nowSeconds);
             }
         } else if (attempt.state().occupiesResources()) {
             // Within an agent epoch a worker lists a task until it gets a forget command for it.
@@ -116,6 +111,17 @@
         }
     }
 
+    /**
+     * Handles a start that did not reach the worker: the start is executed before the worker's next
+     * heartbeat or never. Unless the attempt is being stopped, its start is repeated.
+     */
+    private void onStartNotReceived(TaskAttempt attempt, double nowSeconds) {
+        attempt.machine().reachability().onDeliveryFailed(nowSeconds);
+        if (attempt.isStopping()) {
+            attempts.remove(attempt, nowSeconds);
+        }
+    }
+
     /**
      * Adopts a task that an earlier term started: adds an attempt to the machine and, unless the
      * task has exited, charges it to the machine and the team. An attempt that is not needed is
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/DeliveryOutcomeHandler.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/DeliveryOutcomeHandler.java
@@ -48,7 +48,7 @@
             // A delayed message, or the worker has restarted. A probe shows which.
             prober.probeIfDue(machine, nowSeconds);
         } else if (!machine.contact().isEpochEnded(heartbeat.agentEpoch())) {
-            applier.apply(machine, heartbeat, nowSeconds);
+            applier.apply(machine, heartbeat, MessageKind.DIRECT_RESPONSE, nowSeconds);
             // The response shows that the worker receives requests. Only a heartbeat shows that a
             // controller receives what the worker sends, and only a heartbeat renews the lease. So
             // the response is not treated as a heartbeat: otherwise the machine would get new work
@@ -96,7 +96,7 @@
         if (implausibleHeartbeat != null) {
             // Responses to heartbeats may not have arrived either. In that case the lease of the
             // previous agent epoch may have expired, as the heartbeat reports.
-            applier.apply(machine, implausibleHeartbeat, nowSeconds);
+            applier.apply(machine, implausibleHeartbeat, MessageKind.HEARTBEAT, nowSeconds);
         }
     }
 
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatApplier.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatApplier.java
@@ -33,7 +33,7 @@
         this.attemptReconciler = attemptReconciler;
     }
 
-    void apply(Machine machine, Heartbeat heartbeat, double nowSeconds) {
+    void apply(Machine machine, Heartbeat heartbeat, MessageKind kind, double nowSeconds) {
         if (!machine.contact().isNewer(heartbeat)) {
             return;
         }
@@ -53,7 +53,7 @@
         machine.contact().confirmTerm();
         markUpOrDraining(machine, nowSeconds);
         applyTerminationNotice(machine, heartbeat, nowSeconds);
-        attemptReconciler.reconcile(machine, heartbeat, nowSeconds);
+        attemptReconciler.reconcile(machine, heartbeat, kind, nowSeconds);
     }
 
     /** Marks the machine, which has acknowledged this term, as up or draining. */
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatHandler.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatHandler.java
@@ -1,11 +1,10 @@
 package io.kelphoist.scheduler.heartbeats;
 
 import io.kelphoist.model.Heartbeat;
-import io.kelphoist.model.WorkerCommand;
 import io.kelphoist.scheduler.cluster.JobRegistry;
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.reachability.MachineReachability;
-import java.util.List;
+import io.kelphoist.scheduler.spi.PendingResponse;
 
 /**
  * Handles heartbeats from workers. Each heartbeat is applied at most once, in the order of agent
@@ -37,13 +36,12 @@
     }
 
     /**
-     * Handles a heartbeat. Returns the commands for the response, in the order in which the worker
-     * must execute them. There are none if the heartbeat is a copy or may be one, or if the machine
-     * is not up, draining or terminating.
+     * Handles a heartbeat. The response has no commands if the heartbeat is a copy or may be one,
+     * or if the machine is not up, draining or terminating.
      *
-     * <p>Forget commands are sent only in responses to heartbeats: a worker handles these responses
-     * one after the other, so that no start command that was decided earlier can be executed after
-     * a forget command.
+     * <p>Starts are sent only in responses to heartbeats: a worker handles these responses one
+     * after the other, so that no start command that was decided earlier can be executed after a
+     * forget command.
      *
      * @param receivingController the controller that the worker sent the heartbeat to; empty for
      *     this controller
@@ -51,7 +49,7 @@
      *     restarted, or its agent epoch is treated as ended, and acceptance would renew the lease
      *     of that epoch
      */
-    public List<WorkerCommand> onHeartbeat(
+    public PendingResponse onHeartbeat(
             Heartbeat heartbeat, String receivingController, double nowSeconds) {
         Machine machine = senderResolver.resolve(heartbeat, nowSeconds);
         if (machine == null || machine.reachability().hasRestarted()) {
@@ -65,18 +63,16 @@
         }
         if (isCopyOrFromRestartedWorker(machine, heartbeat)) {
             onCopyOrRestart(machine, heartbeat, nowSeconds);
-            return List.of();
+            return AcceptedHeartbeat.withoutCommands();
         }
         if (isNewEpochImplausible(machine, heartbeat, nowSeconds)) {
             machine.reachability().deferImplausibleHeartbeat(heartbeat);
             machine.contact().onResponseSent(nowSeconds);
             prober.probeIfDue(machine, nowSeconds);
-            return List.of();
+            return AcceptedHeartbeat.withoutCommands();
         }
         accept(machine, heartbeat, receivingController, nowSeconds);
-        return machine.state().isReporting() || machine.state() == Machine.State.TERMINATING
-                ? HeartbeatResponder.commands(jobs, machine, heartbeat)
-                : List.of();
+        return new AcceptedHeartbeat(jobs, machine, heartbeat, nowSeconds);
     }
 
     private boolean isCopyOrFromRestartedWorker(Machine machine, Heartbeat heartbeat) {
@@ -127,7 +123,7 @@
             Machine machine, Heartbeat heartbeat, String receivingController, double nowSeconds) {
         long previousAgentEpoch = machine.contact().agentEpoch();
         long previousSequenceNumber = machine.contact().sequenceNumber();
-        applier.apply(machine, heartbeat, nowSeconds);
+        applier.apply(machine, heartbeat, MessageKind.HEARTBEAT, nowSeconds);
         boolean switchedController =
                 machine.reachability()
                         .onHeartbeat(
@@ -139,7 +135,9 @@
                                 nowSeconds);
         machine.contact().onResponseSent(nowSeconds);
         machine.contact().onHeartbeat(nowSeconds);
-        if (machine.reachability().isSuspected() || switchedController) {
+        if (machine.reachability().isSuspected()
+                || switchedController
+                || machine.state() == Machine.State.BOOTING) {
             prober.probeIfDue(machine, nowSeconds);
         }
     }
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatResponder.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatResponder.java
@@ -8,62 +8,131 @@
 import io.kelphoist.scheduler.cluster.JobRegistry;
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.cluster.TaskAttempt;
+import io.kelphoist.scheduler.lifecycle.AttemptLifecycle;
+import io.kelphoist.scheduler.spi.SentStarts;
 import java.util.ArrayList;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Selects the commands for the response to a heartbeat, in the order in which the worker must
- * execute them.
+ * execute them. The only class that creates start commands: a worker executes such a response
+ * before it sends its next heartbeat, or never, whereas a direct command may be executed late or
+ * repeated as long as its session and fencing token are current, also after a forget command.
  */
 final class HeartbeatResponder {
-    private HeartbeatResponder() {}
+    private static final Logger LOG = LoggerFactory.getLogger(HeartbeatResponder.class);
+
+    private final JobRegistry jobs;
+    private final Machine machine;
+    private final Heartbeat heartbeat;
+    private final SentStarts sentStarts;
+    private final double nowSeconds;
+    private final List<WorkerCommand> commands = new ArrayList<>();
+
+    private HeartbeatResponder(
+            JobRegistry jobs,
+            Machine machine,
+            Heartbeat heartbeat,
+            SentStarts sentStarts,
+            double nowSeconds) {
+        this.jobs = jobs;
+        this.machine = machine;
+        this.heartbeat = heartbeat;
+        this.sentStarts = sentStarts;
+        this.nowSeconds = nowSeconds;
+    }
 
     /**
      * Returns the commands for the machine's attempts and, if no newer message was received, for
-     * listed tasks of unregistered jobs. Marks the starts and stops of the attempts as sent.
+     * listed tasks of unregistered jobs. Marks the starts and stops of the attempts as sent, and
+     * counts the starts.
      */
-    static List<WorkerCommand> commands(JobRegistry jobs, Machine machine, Heartbeat heartbeat) {
-        List<WorkerCommand> commands = new ArrayList<>();
+    static List<WorkerCommand> commands(
+            JobRegistry jobs,
+            Machine machine,
+            Heartbeat heartbeat,
+            SentStarts sentStarts,
+            double nowSeconds) {
+        HeartbeatResponder responder =
+                new HeartbeatResponder(jobs, machine, heartbeat, sentStarts, nowSeconds);
+        responder.addCommands();
+        return responder.commands;
+    }
+
+    private void addCommands() {
         for (TaskAttempt attempt : machine.attempts()) {
             if (attempt.isPresumed()) {
                 continue;
             }
             if (attempt.state() == TaskAttempt.State.EXITED) {
-                addForget(commands, attempt);
+                addForget(attempt);
+            } else if (attempt.isStopping()) {
+                addStop(attempt);
             } else {
-                addStartAndStop(commands, attempt);
+                addStart(attempt);
             }
         }
         // The task list of a heartbeat is not used if a newer message of the machine was received.
         if (heartbeat.isNewerThan(machine.agentEpoch(), machine.contact().sequenceNumber() - 1)) {
-            addForTasksOfUnregisteredJobs(commands, jobs, machine, heartbeat.tasks());
+            addForTasksOfUnregisteredJobs();
         }
-        return commands;
     }
 
-    private static void addForget(List<WorkerCommand> commands, TaskAttempt attempt) {
+    private void addForget(TaskAttempt attempt) {
         if (isForgettable(attempt)) {
             commands.add(
                     new WorkerCommand.Forget(
                             attempt.job().spec().id(), attempt.taskIndex(), attempt.attemptId()));
+            LOG.debug(
+                    "forget sent: job={} task={} attempt={} machine={} agentEpoch={} sequence={}"
+                            + " exit={}",
+                    attempt.job().spec().id(),
+                    attempt.taskIndex(),
+                    attempt.attemptId(),
+                    machine.name(),
+                    heartbeat.agentEpoch(),
+                    heartbeat.sequenceNumber(),
+                    attempt.exitReason());
         }
     }
 
-    private static void addStartAndStop(List<WorkerCommand> commands, TaskAttempt attempt) {
-        String jobId = attempt.job().spec().id();
-        boolean isStarting = attempt.state() == TaskAttempt.State.STARTING;
-        // A stop command alone does not end an attempt whose start command may still arrive. The
-        // worker starts the attempt by this response and then stops it, so that the earlier start
-        // command has no effect.
-        boolean startMayArrive = attempt.mayStartArrive();
-        if (isStarting && attempt.startRecorded() && (!attempt.isStopping() || startMayArrive)) {
-            commands.add(new WorkerCommand.Start(jobId, attempt.taskIndex(), attempt.attemptId()));
-            attempt.onStartSentInResponse();
+    private void addStart(TaskAttempt attempt) {
+        if (attempt.state() == TaskAttempt.State.STARTING && attempt.startRecorded()) {
+            commands.add(
+                    new WorkerCommand.Start(
+                            attempt.job().spec().id(), attempt.taskIndex(), attempt.attemptId()));
+            onStartSent(attempt);
         }
-        if (attempt.isStopping() && (!isStarting || startMayArrive)) {
+    }
+
+    private void onStartSent(TaskAttempt attempt) {
+        double secondsSinceDecision = nowSeconds - attempt.createdAtSeconds();
+        if (attempt.startSent()) {
+            sentStarts.onStartRepeated();
+        } else {
+            sentStarts.onStartSent(secondsSinceDecision);
+        }
+        LOG.debug(
+                "start sent: job={} task={} attempt={} machine={} agentEpoch={} sequence={}"
+                        + " repeated={} secondsSinceDecision={}",
+                attempt.job().spec().id(),
+                attempt.taskIndex(),
+                attempt.attemptId(),
+                machine.name(),
+                heartbeat.agentEpoch(),
+                heartbeat.sequenceNumber(),
+                attempt.startSent(),
+                AttemptLifecycle.roundToTenths(secondsSinceDecision));
+        attempt.onStartSent();
+    }
+
+    private void addStop(TaskAttempt attempt) {
+        if (attempt.state() != TaskAttempt.State.STARTING) {
             commands.add(
                     new WorkerCommand.Stop(
-                            jobId,
+                            attempt.job().spec().id(),
                             attempt.taskIndex(),
                             attempt.attemptId(),
                             attempt.stopGraceSeconds()));
@@ -74,12 +143,8 @@
     /**
      * Stops tasks of unregistered jobs and, after they have exited, lets the worker forget them.
      */
-    private static void addForTasksOfUnregisteredJobs(
-            List<WorkerCommand> commands,
-            JobRegistry jobs,
-            Machine machine,
-            List<TaskStatus> tasks) {
-        for (TaskStatus task : tasks) {
+    private void addForTasksOfUnregisteredJobs() {
+        for (TaskStatus task : heartbeat.tasks()) {
             if (machine.attempts().find(task) == null && !jobs.contains(task.jobId())) {
                 commands.add(
                         task.phase() == TaskPhase.EXITED
@@ -94,14 +159,8 @@
         }
     }
 
-    /**
-     * Whether a worker may forget an exited attempt: its result is stored or need not be, and no
-     * command with its start can still arrive.
-     */
+    /** Whether a worker may forget an exited attempt: its result is stored or need not be. */
     private static boolean isForgettable(TaskAttempt attempt) {
-        if (attempt.mayStartArrive()) {
-            return false;
-        }
         if (attempt.exitReason() != ExitReason.DONE) {
             return true;
         }
--- a/src/main/java/io/kelphoist/scheduler/lifecycle/CommandDispatcher.java
+++ b/src/main/java/io/kelphoist/scheduler/lifecycle/CommandDispatcher.java
@@ -13,9 +13,10 @@
 import java.util.Set;
 
 /**
- * Sends starts and stops directly to the workers, so that they need not wait for the next
- * heartbeat. At most one batch of commands per machine is in flight. Responses to heartbeats repeat
- * the commands, so a batch without a response is not sent again.
+ * Sends stops directly to the workers, so that they need not wait for the next heartbeat. Starts
+ * are never sent directly: a direct command may be executed late, or once more, when its attempt
+ * has long been forgotten. At most one batch of commands per machine is in flight. Responses to
+ * heartbeats repeat the stops, so a batch without a response is not sent again.
  */
 public final class CommandDispatcher {
     /**
@@ -72,18 +73,7 @@
     private static List<WorkerCommand> takeCommands(Machine machine) {
         List<WorkerCommand> commands = new ArrayList<>();
         for (TaskAttempt attempt : machine.attempts()) {
-            if (attempt.isPresumed() || !attempt.state().occupiesResources()) {
-                continue;
-            }
-            if (isStartDue(attempt)) {
-                attempt.onStartDispatched();
-                commands.add(
-                        new WorkerCommand.Start(
-                                attempt.job().spec().id(),
-                                attempt.taskIndex(),
-                                attempt.attemptId()));
-            }
-            if (attempt.isStopping() && !attempt.stopSent() && attempt.startSent()) {
+            if (isStopDue(attempt)) {
                 attempt.onStopSent();
                 commands.add(
                         new WorkerCommand.Stop(
@@ -96,19 +86,16 @@
         return commands;
     }
 
-    private static boolean isStartDue(TaskAttempt attempt) {
-        return attempt.state() == TaskAttempt.State.STARTING
-                && attempt.startRecorded()
-                && !attempt.startSent()
-                && !attempt.isStopping();
+    private static boolean isStopDue(TaskAttempt attempt) {
+        return attempt.state().occupiesResources()
+                && attempt.state() != TaskAttempt.State.STARTING
+                && attempt.isStopping()
+                && !attempt.stopSent();
     }
 
     /** Handles the outcome of the batch of commands that was sent to a machine. */
     public void onOutcome(Machine machine, DeliveryOutcome outcome, double nowSeconds) {
         machine.contact().onCommandsEnded();
-        for (TaskAttempt attempt : machine.attempts()) {
-            attempt.onStartOutcome(outcome != DeliveryOutcome.NO_RESPONSE);
-        }
         if (outcome != DeliveryOutcome.EXECUTED && outcome != DeliveryOutcome.REFUSED) {
             machine.contact()
                     .postponeCommands(
--- a/src/main/java/io/kelphoist/scheduler/records/StartIntentLog.java
+++ b/src/main/java/io/kelphoist/scheduler/records/StartIntentLog.java
@@ -50,9 +50,8 @@
                 + ENTRY_OVERHEAD_BYTES;
     }
 
-    /** Whether the attempt may run: an exited one may run again if its start may still arrive. */
     private static boolean mayRun(TaskAttempt attempt) {
-        return attempt.state() != TaskAttempt.State.EXITED || attempt.mayStartArrive();
+        return attempt.state() != TaskAttempt.State.EXITED;
     }
 
     /** Adds an attempt whose start an earlier term stored. */
--- a/src/test/java/io/kelphoist/architecture/ArchitectureTest.java
+++ b/src/test/java/io/kelphoist/architecture/ArchitectureTest.java
@@ -16,6 +16,7 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import io.kelphoist.model.WorkerCommand;
 import io.kelphoist.wire.HttpExchanges;
 import java.io.Serializable;
 import java.util.ArrayList;
@@ -225,6 +226,20 @@
                 && !javaClass.isEnum();
     }
 
+    /**
+     * Guards against start commands outside of heartbeat responses, which a worker may execute late
+     * or once more.
+     */
+    @Test
+    void onlyHeartbeatResponsesStartTasks() {
+        noClasses()
+                .that()
+                .doNotHaveSimpleName("HeartbeatResponder")
+                .should()
+                .callConstructor(WorkerCommand.Start.class, String.class, int.class, long.class)
+                .check(CLASSES);
+    }
+
     @Test
     void fieldNamesStayInTheWirePackage() {
         fields().that()
--- a/src/test/java/io/kelphoist/failover/CommandDelivery.java
+++ b/src/test/java/io/kelphoist/failover/CommandDelivery.java
@@ -88,7 +88,7 @@
      */
     void deliver(SimulationChecker checker, CommandCopies copies) {
         worker.expireLease();
-        checker.checkHeartbeatsBeforeStart(this);
+        checker.checkStartsNoTask(this);
         boolean executed = execute();
         complete(
                 executed ? DeliveryOutcome.EXECUTED : DeliveryOutcome.REFUSED,
--- a/src/test/java/io/kelphoist/failover/FailoverSimulation.java
+++ b/src/test/java/io/kelphoist/failover/FailoverSimulation.java
@@ -12,9 +12,9 @@
  *
  * <ul>
  *   <li>Commands of earlier leaders arrive after a delay, and commands that were executed and
- *       answered may arrive once more. Copies of heartbeats arrive up to three lease durations
- *       late, or are the first messages that the next leader receives. Connectivity may be lost in
- *       one direction only.
+ *       answered arrive once more, up to two minutes late. Copies of heartbeats arrive up to three
+ *       lease durations late, or are the first messages that the next leader receives. Connectivity
+ *       may be lost in one direction only.
  *   <li>Workers restart and number their agent epochs from 1 again. The cloud terminates machines
  *       with or without a termination notice, and its responses to scale-out requests may be lost.
  *   <li>The state store is unavailable, refuses only the leader's requests, commits transactions
@@ -68,7 +68,7 @@
         store.setChangeListener(stateStore::onStored);
         store.limitMutationRate(size.writesPerSecond());
         fleet = new SimulatedFleet(context, tasks, checker, queueWaits, store);
-        commandCopies = new CommandCopies(context);
+        commandCopies = new CommandCopies(context, seed);
         network = new SimulatedNetwork(context, checker, commandCopies);
         SimulatedLeader.Dependencies dependencies =
                 new SimulatedLeader.Dependencies(
@@ -234,6 +234,7 @@
     void restartWorker(int worker) {
         fleet.worker(worker).restart();
         network.dropConnectionsTo(fleet.worker(worker));
+        heartbeats.dropResponsesTo(fleet.worker(worker));
     }
 
     /** A task that runs on the worker fails. */
--- a/src/test/java/io/kelphoist/failover/FailoverSimulationTest.java
+++ b/src/test/java/io/kelphoist/failover/FailoverSimulationTest.java
@@ -84,7 +84,7 @@
                         + " terms, expected over 1500; "
                         + tasksStartedByElectedLeaders
                         + " tasks started, expected over 5000");
-        SCRIPTED_RUN_COUNTERS.assertMoreThan(100, Counter.TASKS_STARTED_WITHOUT_HEARTBEATS);
+        SCRIPTED_RUN_COUNTERS.assertMoreThan(1000, Counter.COMMAND_COPIES_EXECUTED);
         SCRIPTED_RUN_COUNTERS.assertMoreThan(1000, Counter.MACHINES_SCALED_OUT);
         SCRIPTED_RUN_COUNTERS.assertMoreThan(1000, Counter.HEARTBEATS_KEPT_FOR_NEXT_LEADER);
         SCRIPTED_RUN_COUNTERS.assertMoreThan(1000, Counter.QUERY_BURSTS);
--- a/src/test/java/io/kelphoist/failover/HeartbeatChannel.java
+++ b/src/test/java/io/kelphoist/failover/HeartbeatChannel.java
@@ -3,6 +3,8 @@
 import io.kelphoist.failover.SimulationCounters.Counter;
 import io.kelphoist.model.Heartbeat;
 import io.kelphoist.model.WorkerCommand;
+import io.kelphoist.scheduler.spi.PendingResponse;
+import io.kelphoist.scheduler.spi.SentStarts;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -19,19 +21,28 @@
     /** One of this many heartbeats is kept for the next leader, on average. */
     private static final int MEAN_HEARTBEATS_PER_KEPT_COPY = 3;
 
-    /** One of this many responses to heartbeats is lost, on average. */
-    private static final int MEAN_RESPONSES_PER_LOSS = 3;
-
     private static final double MAX_COPY_DELAY_SECONDS = 3 * SimulationContext.LEASE_SECONDS;
 
+    /** A worker waits this long for a response. */
+    private static final double RESPONSE_TIMEOUT_SECONDS = 4;
+
     /** A copy of a heartbeat and its arrival time. */
     private record DelayedCopy(Heartbeat heartbeat, double atSeconds) {}
 
+    /** A heartbeat whose worker waits for the response. */
+    private record Waiting(
+            SimulatedWorker worker,
+            SimulatedLeader leader,
+            Heartbeat heartbeat,
+            PendingResponse accepted,
+            double sentAtSeconds) {}
+
     private final SimulationContext context;
     private final SimulatedFleet fleet;
     private final Leadership leadership;
     private final AcknowledgedCancellationLog cancellations;
     private final List<DelayedCopy> copies = new ArrayList<>();
+    private final List<Waiting> waiting = new ArrayList<>();
     private final List<Heartbeat> keptForNextLeader = new ArrayList<>();
     private boolean keepForNextLeader;
 
@@ -55,7 +66,6 @@
     void deliverKept(SimulatedLeader leader) {
         context.counters().add(Counter.HEARTBEATS_KEPT_FOR_NEXT_LEADER, keptForNextLeader.size());
         keptForNextLeader.forEach(leader::onHeartbeatCopy);
-        keptForNextLeader.forEach(kept -> fleet.onHeartbeatReceived(kept.machineName()));
         keptForNextLeader.clear();
     }
 
@@ -67,19 +77,16 @@
                 leadership
                         .actingLeader()
                         .filter(leader -> leader.areRecordsLoaded() && leader.acceptsHeartbeats())
-                        .ifPresent(leader -> deliverCopy(copy.heartbeat(), leader));
+                        .ifPresent(leader -> leader.onHeartbeatCopy(copy.heartbeat()));
             }
         }
     }
 
-    private void deliverCopy(Heartbeat heartbeat, SimulatedLeader leader) {
-        fleet.onHeartbeatReceived(heartbeat.machineName());
-        leader.onHeartbeatCopy(heartbeat);
-    }
-
+    /** Delivers the responses that are due, and sends the heartbeats that are due. */
     void sendDueHeartbeats() {
+        respond();
         for (SimulatedWorker worker : fleet.workers()) {
-            if (worker.isHeartbeatDue()) {
+            if (worker.isHeartbeatDue() && !isWaiting(worker)) {
                 double jitter = 0.75 + context.random().nextDouble() / 2;
                 worker.scheduleHeartbeat(
                         context.nowSeconds()
@@ -105,17 +112,54 @@
         if (worker.isOutboundBlocked()) {
             return;
         }
-        worker.onHeartbeatReceived();
-        List<WorkerCommand> commands = leader.onHeartbeat(heartbeat);
-        if (commands != null
+        PendingResponse accepted = leader.onHeartbeat(heartbeat);
+        if (accepted != null) {
+            waiting.add(new Waiting(worker, leader, heartbeat, accepted, context.nowSeconds()));
+        }
+    }
+
+    /**
+     * Delivers the responses that are due. A leader that may not act any more refuses the heartbeat
+     * when the response is due, and a worker gives up after a timeout.
+     */
+    private void respond() {
+        for (Waiting heartbeat : List.copyOf(waiting)) {
+            boolean isDue =
+                    heartbeat.accepted().isDue(PendingResponse.Hold.LONG, context.nowSeconds());
+            if (isDue && heartbeat.leader().isLeading() && heartbeat.leader().acceptsHeartbeats()) {
+                respond(heartbeat);
+            }
+            if (isDue
+                    || context.nowSeconds()
+                            >= heartbeat.sentAtSeconds() + RESPONSE_TIMEOUT_SECONDS) {
+                waiting.remove(heartbeat);
+            }
+        }
+    }
+
+    private void respond(Waiting heartbeat) {
+        SimulatedWorker worker = heartbeat.worker();
+        List<WorkerCommand> commands =
+                heartbeat.accepted().takeCommands(new SentStarts(), context.nowSeconds());
+        if (!worker.isPartitioned()
                 && !worker.isInboundBlocked()
+                && worker.agentEpoch() == heartbeat.heartbeat().agentEpoch()
                 && (context.areRandomFaultsDisabled()
-                        || context.random().nextInt(MEAN_RESPONSES_PER_LOSS) > 0)
-                && worker.execute(leader.term(), commands)) {
-            worker.renewLease(context.nowSeconds());
+                        || context.random().nextInt(context.size().responsesPerLoss()) > 0)
+                && worker.execute(heartbeat.leader().term(), commands)) {
+            worker.renewLease(heartbeat.sentAtSeconds());
         }
     }
 
+    /** Drops the responses to a worker that restarts, because its connections are closed. */
+    void dropResponsesTo(SimulatedWorker worker) {
+        waiting.removeIf(heartbeat -> heartbeat.worker() == worker);
+    }
+
+    private boolean isWaiting(SimulatedWorker worker) {
+        return waiting.stream().anyMatch(heartbeat -> heartbeat.worker() == worker);
+    }
+
     /**
      * A leader that has not loaded its records renews worker leases but does not process
      * heartbeats. Leases of workers with a task of a cancelled job are not renewed.
--- a/src/test/java/io/kelphoist/failover/JobStreamSimulationTest.java
+++ b/src/test/java/io/kelphoist/failover/JobStreamSimulationTest.java
@@ -19,6 +19,9 @@
 class JobStreamSimulationTest {
     private static final int SECONDS = 180;
 
+    /** Far more than the deployments lose, which is three messages in ten thousand. */
+    private static final int RESPONSES_PER_LOSS = 20;
+
     /**
      * Runs the job stream on 24 machines with a limit of 40 tasks, without initial jobs and without
      * elections, with at most 2 status requests without a response and 8 changes per transaction.
@@ -31,7 +34,10 @@
     void everyJobOfTheStreamEnds(long seed, double writesPerSecond) {
         FailoverSimulation simulation =
                 new FailoverSimulation(
-                        seed, 2, new SimulationSize(24, 40, false, writesPerSecond, 8), false);
+                        seed,
+                        2,
+                        new SimulationSize(24, 40, false, writesPerSecond, 8, RESPONSES_PER_LOSS),
+                        false);
         Random random = new Random(seed);
         simulation.advance(6, /* delayedPerTen= */ 0);
         for (int i = 0; i < 4 * SECONDS; i++) {
@@ -47,8 +53,6 @@
             simulation.advance(0.25, /* delayedPerTen= */ 0);
         }
         simulation.endFaultsAndCheckConvergence();
-        double highPriorityWaitSeconds = simulation.longestWaitSeconds(Priority.HIGH);
-        double normalWaitSeconds = simulation.longestWaitSeconds(Priority.NORMAL);
         assertTrue(
                 simulation.acceptedJobCount() == 4 * SECONDS
                         && simulation.count(Counter.JOBS_CANCELLED) > SECONDS / 2,
@@ -59,6 +63,12 @@
         assertTrue(
                 writesPerSecond > 10 || simulation.rejectedTransactionCount() > 20,
                 simulation.rejectedTransactionCount() + " transactions rejected, expected over 20");
+        checkWaits(simulation);
+    }
+
+    private static void checkWaits(FailoverSimulation simulation) {
+        double highPriorityWaitSeconds = simulation.longestWaitSeconds(Priority.HIGH);
+        double normalWaitSeconds = simulation.longestWaitSeconds(Priority.NORMAL);
         assertTrue(
                 normalWaitSeconds < 15 && highPriorityWaitSeconds < 10,
                 "longest wait of normal jobs: "
--- a/src/test/java/io/kelphoist/failover/SimulatedFleet.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedFleet.java
@@ -79,12 +79,6 @@
         workers.forEach(SimulatedWorker::runTasks);
     }
 
-    void onHeartbeatReceived(String machineName) {
-        workers.stream()
-                .filter(worker -> worker.name().equals(machineName))
-                .forEach(SimulatedWorker::onHeartbeatReceived);
-    }
-
     void endFaults() {
         for (SimulatedWorker worker : workers) {
             worker.setPartitioned(false);
--- a/src/test/java/io/kelphoist/failover/SimulatedLeader.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedLeader.java
@@ -16,11 +16,11 @@
 import io.kelphoist.model.ScaleOutResult;
 import io.kelphoist.model.SchedulingPolicy;
 import io.kelphoist.model.Team;
-import io.kelphoist.model.WorkerCommand;
 import io.kelphoist.replication.MachineStatePublisher;
 import io.kelphoist.scheduler.SchedulerState;
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.reachability.DeliveryOutcome;
+import io.kelphoist.scheduler.spi.PendingResponse;
 import io.kelphoist.statestore.StateStoreSimulation;
 import java.util.List;
 import java.util.Map;
@@ -83,7 +83,6 @@
     private long readRevision;
     private int receivedCancellations;
     private boolean recordsLoaded;
-    private double listedAtSeconds;
     private double frozenUntilSeconds;
     private double firstDecisionAfterSeconds = Double.NaN;
 
@@ -101,7 +100,6 @@
         this.controllerName = controllerName;
         double now = context.nowSeconds();
         startedAtSeconds = now;
-        listedAtSeconds = now;
         failover =
                 new Failover(
                         term,
@@ -182,14 +180,6 @@
         return context.nowSeconds() >= frozenUntilSeconds && !schedulerState.isDeposed();
     }
 
-    /**
-     * Returns when it last received the instance list, which contains machines whose heartbeats are
-     * lost too; the start of its term if it received none.
-     */
-    double listedAtSeconds() {
-        return listedAtSeconds;
-    }
-
     /** Returns the seconds from its election to its first decision; NaN before that. */
     double firstDecisionAfterSeconds() {
         return firstDecisionAfterSeconds;
@@ -306,8 +296,8 @@
 
     // ---- input ----
 
-    /** Returns the commands in the response; null if the heartbeat is refused. */
-    List<WorkerCommand> onHeartbeat(Heartbeat heartbeat) {
+    /** Returns null if the heartbeat is refused. */
+    PendingResponse onHeartbeat(Heartbeat heartbeat) {
         return schedulerState.onHeartbeat(
                 heartbeat, /* receivingController= */ "", context.nowSeconds());
     }
@@ -327,7 +317,6 @@
     }
 
     void onInstanceList(List<CloudInstance> instances) {
-        listedAtSeconds = context.nowSeconds();
         schedulerState.onInstanceList(
                 List.of(new InstanceListPage(/* afterName= */ "", /* lastPage= */ true, instances)),
                 context.nowSeconds());
--- a/src/test/java/io/kelphoist/failover/SimulatedNetwork.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedNetwork.java
@@ -52,6 +52,7 @@
             }
             deliver(delivery, delayedPerTen);
         }
+        copies.deliverDue();
     }
 
     private void deliver(CommandDelivery delivery, int delayedPerTen) {
--- a/src/test/java/io/kelphoist/failover/SimulatedWorker.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedWorker.java
@@ -44,6 +44,9 @@
 
     private static final double FIRST_HEARTBEAT_SPACING_SECONDS = 0.3;
 
+    /** A worker whose tasks have changed sends a heartbeat this long after the last one. */
+    private static final double MIN_HEARTBEAT_SPACING_SECONDS = 0.5;
+
     private final String name;
     private final SimulationContext context;
     private final SimulatedTasks tasks;
@@ -62,11 +65,12 @@
     private long heartbeatSequence;
     private double leaseStartSeconds;
     private double nextHeartbeatAtSeconds;
+    private double lastHeartbeatAtSeconds;
+    private List<TaskStatus> lastReportedTasks = List.of();
     private boolean partitioned;
     private boolean inboundBlocked;
     private boolean outboundBlocked;
     private boolean refusesStarts;
-    private double lastHeartbeatReceivedAtSeconds;
     private boolean terminated;
     private double terminatesAtSeconds = Double.POSITIVE_INFINITY;
 
@@ -82,7 +86,6 @@
         this.tasks = tasks;
         this.fleet = fleet;
         leaseStartSeconds = context.nowSeconds();
-        lastHeartbeatReceivedAtSeconds = context.nowSeconds();
         nextHeartbeatAtSeconds =
                 scaledOut ? context.nowSeconds() : number * FIRST_HEARTBEAT_SPACING_SECONDS;
     }
@@ -188,20 +191,19 @@
     // ---- heartbeats and leases ----
 
     boolean isHeartbeatDue() {
-        return !partitioned && context.nowSeconds() >= nextHeartbeatAtSeconds;
-    }
-
-    void scheduleHeartbeat(double atSeconds) {
-        nextHeartbeatAtSeconds = atSeconds;
+        return !partitioned
+                && (context.nowSeconds() >= nextHeartbeatAtSeconds || isChangeToReport());
     }
 
-    /** A leader received a heartbeat of this worker or a copy of one. */
-    void onHeartbeatReceived() {
-        lastHeartbeatReceivedAtSeconds = context.nowSeconds();
+    private boolean isChangeToReport() {
+        return context.nowSeconds() >= lastHeartbeatAtSeconds + MIN_HEARTBEAT_SPACING_SECONDS
+                && !taskStatuses().equals(lastReportedTasks);
     }
 
-    double lastHeartbeatReceivedAtSeconds() {
-        return lastHeartbeatReceivedAtSeconds;
+    void scheduleHeartbeat(double atSeconds) {
+        nextHeartbeatAtSeconds = atSeconds;
+        lastHeartbeatAtSeconds = context.nowSeconds();
+        lastReportedTasks = taskStatuses();
     }
 
     /** Renews the lease; its duration is measured from when the heartbeat was sent. */
@@ -220,9 +222,6 @@
     }
 
     Heartbeat createHeartbeat() {
-        List<TaskStatus> statuses = new ArrayList<>();
-        attempts.forEach((task, attempt) -> statuses.add(status(task, attempt)));
-        statuses.addAll(exitedAttempts.statuses());
         Double notice =
                 terminatesAtSeconds == Double.POSITIVE_INFINITY
                         ? null
@@ -237,7 +236,14 @@
                 ++heartbeatSequence,
                 fencingToken,
                 notice,
-                statuses);
+                taskStatuses());
+    }
+
+    private List<TaskStatus> taskStatuses() {
+        List<TaskStatus> statuses = new ArrayList<>();
+        attempts.forEach((task, attempt) -> statuses.add(status(task, attempt)));
+        statuses.addAll(exitedAttempts.statuses());
+        return statuses;
     }
 
     private TaskStatus status(String task, long attempt) {
@@ -354,9 +360,6 @@
             startedAtSeconds.put(task, context.nowSeconds());
             fleet.onTaskRunning();
         }
-        if (outboundBlocked) {
-            context.counters().increment(Counter.TASKS_STARTED_WITHOUT_HEARTBEATS);
-        }
     }
 
     private void stop(String task, WorkerCommand.Stop command) {
--- a/src/test/java/io/kelphoist/failover/SimulationChecker.java
+++ b/src/test/java/io/kelphoist/failover/SimulationChecker.java
@@ -19,15 +19,6 @@
      */
     static final double CANCELLATION_TIMEOUT_SECONDS = 30;
 
-    /**
-     * Time for which the heartbeats of a machine may be missing while tasks may still be started on
-     * it: the longest regular interval between two heartbeats (1.25 intervals), plus 2.5 s for late
-     * heartbeats and for the steps of the simulation. Of these, the scheduler allows 1.5 s for a
-     * late heartbeat before it takes the machine as possibly disconnected.
-     */
-    private static final double MAX_HEARTBEAT_GAP_SECONDS =
-            1.25 * SimulationContext.HEARTBEAT_INTERVAL_SECONDS + 2.5;
-
     private final SimulationContext context;
     private final SimulatedJobs jobs;
     private final SimulatedTasks tasks;
@@ -115,32 +106,15 @@
 
     /**
      * A leader must not start a task by a direct command, which is one that is not sent in the
-     * response to a heartbeat, on a machine whose heartbeats have been missing for longer than
-     * {@link #MAX_HEARTBEAT_GAP_SECONDS}, unless its term began or it received the instance list
-     * within that time. Only heartbeats renew the worker lease, so the task would be stopped when
-     * the lease expires. Checked only for a worker that is set to lose its heartbeats.
+     * response to a heartbeat: a worker may execute it late, or once more.
      */
-    void checkHeartbeatsBeforeStart(CommandDelivery delivery) {
-        SimulatedWorker worker = delivery.worker();
-        double lastReceivedOrListedAtSeconds =
-                Math.max(
-                        worker.lastHeartbeatReceivedAtSeconds(),
-                        delivery.leader().listedAtSeconds());
-        if (worker.isOutboundBlocked()
-                && delivery.sentAtSeconds()
-                        > lastReceivedOrListedAtSeconds + MAX_HEARTBEAT_GAP_SECONDS
-                && delivery.startsTasks()) {
+    void checkStartsNoTask(CommandDelivery delivery) {
+        if (delivery.startsTasks()) {
             throw new AssertionError(
-                    "task is started on a machine without heartbeats: machine="
-                            + worker.name()
-                            + " sentAtSeconds="
-                            + delivery.sentAtSeconds()
-                            + " lastHeartbeatAtSeconds="
-                            + worker.lastHeartbeatReceivedAtSeconds()
-                            + " listedAtSeconds="
-                            + delivery.leader().listedAtSeconds()
-                            + " maxGapSeconds="
-                            + MAX_HEARTBEAT_GAP_SECONDS);
+                    "direct command starts a task: machine="
+                            + delivery.worker().name()
+                            + " nowSeconds="
+                            + context.nowSeconds());
         }
     }
 
--- a/src/test/java/io/kelphoist/failover/SimulationCounters.java
+++ b/src/test/java/io/kelphoist/failover/SimulationCounters.java
@@ -7,8 +7,6 @@
     /** An event that is counted. */
     enum Counter {
         TASKS_STARTED,
-        /** Tasks started on a worker whose heartbeats are all lost. */
-        TASKS_STARTED_WITHOUT_HEARTBEATS,
         LEASES_EXPIRED,
         /** Leaders that made their first decision before a full heartbeat round had passed. */
         QUICK_FAILOVERS,
--- a/src/test/java/io/kelphoist/failover/SimulationSize.java
+++ b/src/test/java/io/kelphoist/failover/SimulationSize.java
@@ -8,18 +8,21 @@
  * @param withInitialJobs whether the initial jobs are stored before the run starts
  * @param writesPerSecond maximum number of changes per second that the state store accepts
  * @param operationsPerTransaction maximum number of changes in one transaction
+ * @param responsesPerLoss one of this many responses to heartbeats is lost, on average
  */
 record SimulationSize(
         int workers,
         int taskLimit,
         boolean withInitialJobs,
         double writesPerSecond,
-        int operationsPerTransaction) {
+        int operationsPerTransaction,
+        int responsesPerLoss) {
     static final SimulationSize USUAL =
             new SimulationSize(
                     /* workers= */ 5,
                     /* taskLimit= */ 7,
                     /* withInitialJobs= */ true,
                     /* writesPerSecond= */ 1e6,
-                    /* operationsPerTransaction= */ 48);
+                    /* operationsPerTransaction= */ 48,
+                    /* responsesPerLoss= */ 3);
 }
--- a/src/test/java/io/kelphoist/scheduler/ScenarioExpectations.java
+++ b/src/test/java/io/kelphoist/scheduler/ScenarioExpectations.java
@@ -8,7 +8,11 @@
 import io.kelphoist.failover.PromotionCheck;
 import io.kelphoist.scheduler.cluster.JobRegistry;
 import io.kelphoist.scheduler.cluster.Machine;
+import io.kelphoist.scheduler.cluster.TaskAttempt;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 /** Checks what a scenario expects of the scheduler's state and of its requests. */
@@ -39,6 +43,7 @@
         switch (line.word(1)) {
             case "heartbeat-response", "heartbeat-refused" -> checkHeartbeatResponse(line);
             case "commands" -> assertEquals(line.textFrom(3), output.commandsTo(line.word(2)));
+            case "due-starts" -> assertEquals(line.textFrom(3), dueStarts(line.word(2)));
             case "probes" -> assertEquals(line.textFrom(2), output.probes());
             case "scale-out" -> assertEquals(line.textFrom(2), output.scaleOutRequests());
             case "scale-in" -> assertEquals(line.textFrom(2), output.scaledInMachines());
@@ -73,6 +78,20 @@
                         .collect(Collectors.toList()));
     }
 
+    private String dueStarts(String machineName) {
+        Machine machine = scenario.schedulerState().machineRegistry().get(machineName);
+        if (machine == null) {
+            return NONE;
+        }
+        List<String> tasks = new ArrayList<>();
+        for (TaskAttempt attempt : machine.attempts()) {
+            if (attempt.isStartDue()) {
+                tasks.add(attempt.job().spec().id() + "/" + attempt.taskIndex());
+            }
+        }
+        return tasks.isEmpty() ? NONE : String.join(", ", new TreeSet<>(tasks));
+    }
+
     private void checkConsideredMachines(ScenarioLine line) {
         long considered = scenario.schedulerState().consideredMachineCount();
         long consideredSinceLastCheck = considered - consideredAtLastCheck;
--- a/src/test/java/io/kelphoist/scheduler/ScenarioMachines.java
+++ b/src/test/java/io/kelphoist/scheduler/ScenarioMachines.java
@@ -9,6 +9,8 @@
 import io.kelphoist.model.ScaleOutResult;
 import io.kelphoist.model.WorkerCommand;
 import io.kelphoist.scheduler.reachability.DeliveryOutcome;
+import io.kelphoist.scheduler.spi.PendingResponse;
+import io.kelphoist.scheduler.spi.SentStarts;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -57,14 +59,15 @@
 
     private void onHeartbeat(ScenarioLine line) {
         Heartbeat heartbeat = heartbeat(line.word(1), line);
-        heartbeatResponse =
+        PendingResponse accepted =
                 scenario.schedulerState()
                         .onHeartbeat(
                                 heartbeat, line.option("relayed-by", ""), scenario.nowSeconds());
+        heartbeatResponse =
+                accepted == null
+                        ? null
+                        : accepted.takeCommands(new SentStarts(), scenario.nowSeconds());
         heartbeatReceived = true;
-        if (heartbeatResponse != null) {
-            output.recordNewestAttemptIds(heartbeatResponse);
-        }
     }
 
     private Heartbeat heartbeat(String machine, ScenarioLine line) {
--- a/src/test/java/io/kelphoist/scheduler/ScenarioOutput.java
+++ b/src/test/java/io/kelphoist/scheduler/ScenarioOutput.java
@@ -68,16 +68,6 @@
     @Override
     public void sendCommands(Machine machine, long agentEpoch, List<WorkerCommand> commands) {
         commandsByMachine.put(machine.name(), commands);
-        recordNewestAttemptIds(commands);
-    }
-
-    void recordNewestAttemptIds(List<WorkerCommand> commands) {
-        for (WorkerCommand command : commands) {
-            if (command instanceof WorkerCommand.Start) {
-                newestAttemptIdsByTask.put(
-                        command.jobId() + "/" + command.taskIndex(), command.attemptId());
-            }
-        }
     }
 
     /** The id of the attempt at a task that was started last, which must exist. */
@@ -198,6 +188,12 @@
     public void storeStarts(int page, List<TaskAttempt> attempts) {
         writeCount++;
         recordedStartsByPage.put(page, attempts);
+        attempts.stream()
+                .filter(attempt -> !attempt.isPresumed())
+                .forEach(
+                        attempt ->
+                                newestAttemptIdsByTask.merge(
+                                        taskName(attempt), attempt.attemptId(), Math::max));
         if (acknowledgesStartWrites) {
             schedulerState.onStartsStored(page, PageWriteOutcome.STORED);
         }
--- a/src/test/java/io/kelphoist/scheduler/SchedulerBenchmark.java
+++ b/src/test/java/io/kelphoist/scheduler/SchedulerBenchmark.java
@@ -12,10 +12,8 @@
 import io.kelphoist.model.Resources;
 import io.kelphoist.model.ScaleOutRequest;
 import io.kelphoist.model.SchedulingPolicy;
-import io.kelphoist.model.TaskPhase;
 import io.kelphoist.model.TaskProgress;
 import io.kelphoist.model.TaskRef;
-import io.kelphoist.model.TaskStatus;
 import io.kelphoist.model.Team;
 import io.kelphoist.model.WorkerCommand;
 import io.kelphoist.records.PageWriteOutcome;
@@ -24,12 +22,12 @@
 import io.kelphoist.scheduler.reachability.DeliveryOutcome;
 import io.kelphoist.scheduler.spi.PromotionGate;
 import io.kelphoist.scheduler.spi.SchedulerOutput;
+import io.kelphoist.scheduler.spi.SentStarts;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -49,7 +47,7 @@
     private final MachineType type =
             new MachineType( // cache 50 GB, fetch 0.6 GB/s, prices 8 and (spot) 3, boot 25 s
                     "m", new Resources(24, MACHINE_GPUS, 96), 50, 0.6, 8, 3, 25, List.of("a", "b"));
-    private final Map<String, Map<String, Long>> running = new HashMap<>();
+    private final BenchmarkWorkers workers = new BenchmarkWorkers();
     private final Deque<Runnable> outcomes = new ArrayDeque<>();
     private final Histogram heartbeatNanos = new Histogram(3);
     private final Histogram decisionNanos = new Histogram(3);
@@ -57,7 +55,6 @@
     private final Map<Integer, List<RecordedStart>> startsByPage = new HashMap<>();
     private SchedulerState schedulerState;
     private double nowSeconds;
-    private long sequenceNumber;
     private long recordVersion;
 
     private SchedulerBenchmark(int count) {
@@ -99,7 +96,7 @@
         while (nowSeconds < start + 60) {
             nowSeconds += 0.02;
             for (; up < Math.min(machineCount, machineCount * (nowSeconds - start) / 40); up++) {
-                schedulerState.onHeartbeat(createHeartbeat("vm-" + up, up, 1), "", nowSeconds);
+                sendHeartbeat(BenchmarkWorkers.NAME_PREFIX + up);
             }
             tick(/* measure= */ true);
         }
@@ -197,41 +194,16 @@
         schedulerState.onJobRecord(record, 0, nowSeconds);
     }
 
-    private Heartbeat createHeartbeat(String machineName, int machineNumber, long fencingToken) {
-        List<TaskStatus> tasks = new ArrayList<>();
-        running.getOrDefault(machineName, Map.of())
-                .forEach(
-                        (task, attemptId) ->
-                                tasks.add(
-                                        new TaskStatus(
-                                                task.substring(0, task.indexOf('/')),
-                                                Integer.parseInt(
-                                                        task.substring(task.indexOf('/') + 1)),
-                                                attemptId,
-                                                TaskPhase.RUNNING,
-                                                /* exitReason= */ null,
-                                                /* checkpointSaved= */ false)));
-        return new Heartbeat(
-                machineName,
-                "10.0.0.1:9000",
-                /* machineType= */ "m",
-                /* zone= */ machineNumber % 2 == 0 ? "a" : "b",
-                /* spot= */ false,
-                /* agentEpoch= */ 1,
-                ++sequenceNumber,
-                fencingToken,
-                /* terminationNoticeSeconds= */ null,
-                tasks);
-    }
-
     private void sendHeartbeatRound(long fencingToken, boolean measure) {
         for (int i = 0; i < machineCount; i++) {
-            Heartbeat heartbeat = createHeartbeat("vm-" + i, i, fencingToken);
+            String machineName = BenchmarkWorkers.NAME_PREFIX + i;
+            Heartbeat heartbeat = workers.createHeartbeat(machineName, fencingToken);
             long startNanos = System.nanoTime();
-            schedulerState.onHeartbeat(heartbeat, "", nowSeconds);
+            List<WorkerCommand> commands = respond(heartbeat);
             if (measure) {
                 heartbeatNanos.recordValue(System.nanoTime() - startNanos);
             }
+            workers.execute(machineName, commands);
             if (i % (machineCount / 40) == 0) {
                 tick(measure);
                 nowSeconds += HEARTBEAT_INTERVAL_SECONDS / 40;
@@ -239,6 +211,17 @@
         }
     }
 
+    private List<WorkerCommand> respond(Heartbeat heartbeat) {
+        return schedulerState
+                .onHeartbeat(heartbeat, "", nowSeconds)
+                .takeCommands(new SentStarts(), nowSeconds);
+    }
+
+    private void sendHeartbeat(String machineName) {
+        Heartbeat heartbeat = workers.createHeartbeat(machineName, schedulerState.term());
+        workers.execute(machineName, respond(heartbeat));
+    }
+
     private void tick(boolean measure) {
         long startNanos = System.nanoTime();
         schedulerState.tick(nowSeconds);
@@ -271,7 +254,7 @@
 
     private void sendHeartbeats(long fencingToken) {
         for (int i = 0; i < machineCount; i++) {
-            schedulerState.onHeartbeat(createHeartbeat("vm-" + i, i, fencingToken), "", nowSeconds);
+            respond(workers.createHeartbeat(BenchmarkWorkers.NAME_PREFIX + i, fencingToken));
         }
     }
 
@@ -332,22 +315,13 @@
 
     @Override
     public void sendCommands(Machine machine, long agentEpoch, List<WorkerCommand> commands) {
-        Map<String, Long> attemptIds =
-                running.computeIfAbsent(machine.name(), name -> new LinkedHashMap<>());
-        for (WorkerCommand command : commands) {
-            if (command instanceof WorkerCommand.Start) {
-                attemptIds.put(command.jobId() + "/" + command.taskIndex(), command.attemptId());
-            } else {
-                attemptIds.remove(command.jobId() + "/" + command.taskIndex());
-            }
-        }
-        int number = Integer.parseInt(machine.name().substring(3));
+        workers.execute(machine.name(), commands);
         outcomes.add(
                 () ->
                         schedulerState.onCommandOutcome(
                                 machine.name(),
                                 DeliveryOutcome.EXECUTED,
-                                createHeartbeat(machine.name(), number, schedulerState.term()),
+                                workers.createHeartbeat(machine.name(), schedulerState.term()),
                                 nowSeconds));
     }
 
@@ -368,6 +342,11 @@
                                                         attempt.taskIndex())))
                         .toList());
         outcomes.add(() -> schedulerState.onStartsStored(page, PageWriteOutcome.STORED));
+        // The leader holds the responses of machines with free resources until starts are stored.
+        attempts.stream()
+                .map(attempt -> attempt.machine().name())
+                .distinct()
+                .forEach(machineName -> outcomes.add(() -> sendHeartbeat(machineName)));
     }
 
     @Override
--- a/src/test/java/io/kelphoist/scheduler/TeamLimitSimulation.java
+++ b/src/test/java/io/kelphoist/scheduler/TeamLimitSimulation.java
@@ -22,6 +22,7 @@
 import io.kelphoist.scheduler.reachability.DeliveryOutcome;
 import io.kelphoist.scheduler.spi.PromotionGate;
 import io.kelphoist.scheduler.spi.SchedulerOutput;
+import io.kelphoist.scheduler.spi.SentStarts;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -174,7 +175,11 @@
     }
 
     private void sendHeartbeat(String machine) {
-        execute(machine, scheduler.onHeartbeat(heartbeat(machine), "", nowSeconds));
+        execute(
+                machine,
+                scheduler
+                        .onHeartbeat(heartbeat(machine), "", nowSeconds)
+                        .takeCommands(new SentStarts(), nowSeconds));
     }
 
     private Heartbeat heartbeat(String machine) {
