Command dispatcher: stored starts no longer queue their machines

Since starts go in heartbeat responses, the dispatcher sends stops alone, and whoever requests a stop queues its machine. With each page of starts that was written, the machines on it were still queued, found without commands and removed again. StartIntentLog.onPageWritten collected them for that only. No change in what is sent.

--- a/src/main/java/io/kelphoist/scheduler/SchedulerState.java
+++ b/src/main/java/io/kelphoist/scheduler/SchedulerState.java
@@ -234,8 +234,7 @@
 
     /** Handles the outcome of {@link SchedulerOutput#storeStarts}. */
     public void onStartsStored(int pageNumber, PageWriteOutcome outcome) {
-        components.commandDispatcher.enqueueAll(
-                components.records.starts().onPageWritten(pageNumber, outcome));
+        components.records.starts().onPageWritten(pageNumber, outcome);
     }
 
     // ---- workers ----
--- a/src/main/java/io/kelphoist/scheduler/lifecycle/CommandDispatcher.java
+++ b/src/main/java/io/kelphoist/scheduler/lifecycle/CommandDispatcher.java
@@ -7,7 +7,6 @@
 import io.kelphoist.scheduler.spi.SchedulerOutput;
 import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
@@ -28,7 +27,7 @@
     private final SchedulerOutput output;
     private final double heartbeatIntervalSeconds;
 
-    /** Machines for which commands may be due. */
+    /** Machines for which stops may be due. */
     private final Set<Machine> pendingMachines = new ReferenceLinkedOpenHashSet<>();
 
     /** Creates a dispatcher that has no machines with due commands. */
@@ -37,16 +36,11 @@
         this.heartbeatIntervalSeconds = heartbeatIntervalSeconds;
     }
 
-    /** Adds a machine for which commands may be due. */
+    /** Adds a machine for which stops may be due. */
     void enqueue(Machine machine) {
         pendingMachines.add(machine);
     }
 
-    /** Adds machines for which commands may be due. */
-    public void enqueueAll(Collection<Machine> machines) {
-        pendingMachines.addAll(machines);
-    }
-
     /** Sends the due commands to each machine that can receive them and has none in flight. */
     public void sendPending(double nowSeconds) {
         for (Iterator<Machine> machines = pendingMachines.iterator(); machines.hasNext(); ) {
--- a/src/main/java/io/kelphoist/scheduler/records/StartIntentLog.java
+++ b/src/main/java/io/kelphoist/scheduler/records/StartIntentLog.java
@@ -7,8 +7,6 @@
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.cluster.TaskAttempt;
 import io.kelphoist.scheduler.spi.SchedulerOutput;
-import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
-import java.util.Set;
 
 /**
  * Write-ahead log of task starts: a start command is sent only after the start is stored in the
@@ -99,16 +97,12 @@
 
     /**
      * Handles the outcome of a page write: marks the attempts in it as recorded if it was stored.
-     * Returns the machines of these attempts, whatever the outcome.
      */
-    public Set<Machine> onPageWritten(int pageNumber, PageWriteOutcome outcome) {
-        Set<Machine> machines = new ReferenceLinkedOpenHashSet<>();
+    public void onPageWritten(int pageNumber, PageWriteOutcome outcome) {
         for (TaskAttempt attempt : pages.onPageWritten(pageNumber, outcome)) {
             if (outcome == PageWriteOutcome.STORED) {
                 attempt.markStartRecorded();
             }
-            machines.add(attempt.machine());
         }
-        return machines;
     }
 }
