--- a/src/main/java/io/kelphoist/scheduler/heartbeats/AcceptedHeartbeat.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/AcceptedHeartbeat.java
@@ -19,14 +19,8 @@
     /** For machines whose tasks do not end by themselves; a worker waits 4 s for a response. */
     private static final double STEADY_HOLD_SECONDS = 3.2;
 
-    private static final AcceptedHeartbeat WITHOUT_COMMANDS =
-            new AcceptedHeartbeat(null, null, null, 0);
-
     private final JobRegistry jobs;
-
-    /** Null: the response has no commands. */
     private final Machine machine;
-
     private final Heartbeat heartbeat;
     private final double acceptedAtSeconds;
 
@@ -38,13 +32,9 @@
         this.acceptedAtSeconds = acceptedAtSeconds;
     }
 
-    static AcceptedHeartbeat withoutCommands() {
-        return WITHOUT_COMMANDS;
-    }
-
     @Override
     public boolean isDue(Hold hold, double nowSeconds) {
-        return machine == null || nowSeconds >= acceptedAtSeconds + holdSeconds(hold, nowSeconds);
+        return nowSeconds >= acceptedAtSeconds + holdSeconds(hold, nowSeconds);
     }
 
     private double holdSeconds(Hold hold, double nowSeconds) {
@@ -71,7 +61,7 @@
 
     @Override
     public List<WorkerCommand> takeCommands(SentStarts sentStarts, double nowSeconds) {
-        return machine != null && mayReceiveCommands()
+        return mayReceiveCommands()
                 ? HeartbeatResponder.commands(jobs, machine, heartbeat, sentStarts, nowSeconds)
                 : List.of();
     }
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatHandler.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/HeartbeatHandler.java
@@ -63,13 +63,13 @@
         }
         if (isCopyOrFromRestartedWorker(machine, heartbeat)) {
             onCopyOrRestart(machine, heartbeat, nowSeconds);
-            return AcceptedHeartbeat.withoutCommands();
+            return EmptyResponse.INSTANCE;
         }
         if (isNewEpochImplausible(machine, heartbeat, nowSeconds)) {
             machine.reachability().deferImplausibleHeartbeat(heartbeat);
             machine.contact().onResponseSent(nowSeconds);
             prober.probeIfDue(machine, nowSeconds);
-            return AcceptedHeartbeat.withoutCommands();
+            return EmptyResponse.INSTANCE;
         }
         accept(machine, heartbeat, receivingController, nowSeconds);
         return new AcceptedHeartbeat(jobs, machine, heartbeat, nowSeconds);
