--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -10,6 +10,11 @@
     /** Prepares the deployment, before its processes start. */
     void prepare() {}
 
+    /** How many machines of a kind the cloud has in each zone. */
+    int machinesPerZone() {
+        return 5;
+    }
+
     /** Plays the case; returns false if it couldn't run. */
     abstract boolean play() throws Exception;
 
@@ -27,7 +32,7 @@
                         Runtime.getRuntime().halt(closeAnd(world, 2));
                     });
             played.prepare();
-            world.open(1.0, 5);
+            world.open(1.0, played.machinesPerZone());
             if (world.awaitLeader(25) == null) {
                 world.log("could not run: no leader");
             } else if (played.play()) {
--- a/review/standins-2/Controller.java
+++ b/review/standins-2/Controller.java
@@ -23,6 +23,9 @@
     volatile Process process;
     volatile boolean healthy;
 
+    /** Users don't reach it. */
+    volatile boolean cutOff;
+
     Controller(World world, int index, String zone, int publicPort, int peerPort) {
         this.world = world;
         this.index = index;
--- a/review/standins-2/StateService.java
+++ b/review/standins-2/StateService.java
@@ -50,6 +50,7 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<Http.Server> servers = new ArrayList<>();
     private final Set<Integer> refused = new HashSet<>();
+    private final Set<Integer> cut = new HashSet<>();
     private final Bucket requests;
     private final Bucket writes;
     private final int maxValueBytes;
@@ -109,6 +110,20 @@
         notifyAll();
     }
 
+    /** Nothing passes between the service and a controller; what is held meanwhile is dropped. */
+    synchronized void setCut(int controller, boolean isCut) {
+        if (isCut) {
+            cut.add(controller);
+        } else {
+            cut.remove(controller);
+        }
+        notifyAll();
+    }
+
+    private synchronized boolean isCut(int controller) {
+        return cut.contains(controller);
+    }
+
     synchronized JsonNode value(String key) {
         Item item = items.get(key);
         return item == null ? null : item.value;
@@ -196,6 +211,23 @@
         if (latencyMillis > 0) {
             sleep(latencyMillis);
         }
+        if (isCut(controller)) {
+            while (isCut(controller)) {
+                sleep(50);
+            }
+            return null;
+        }
+        Http.Reply reply = answer(controller, request);
+        if (isCut(controller)) {
+            while (isCut(controller)) {
+                sleep(50);
+            }
+            return null;
+        }
+        return reply;
+    }
+
+    private Http.Reply answer(int controller, Http.Request request) throws Exception {
         String path = request.path();
         ObjectNode body = request.json();
         if (path.equals("/txn")) {
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -56,6 +56,9 @@
     /** Reaches no controller, but direct commands arrive. */
     volatile double muteUntil;
 
+    /** Direct commands don't arrive. */
+    volatile double noOrdersUntil;
+
     volatile Double ebbs;
 
     Worker(World world, String name, String zone, boolean spot) throws IOException {
@@ -313,7 +316,7 @@
         while (hangs() && !dead) {
             World.sleep(20);
         }
-        if (world.now() < deafUntil) {
+        if (world.now() < Math.max(deafUntil, noOrdersUntil)) {
             World.sleep(10_000);
             return null;
         }
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -441,7 +441,7 @@
         while (!closed) {
             boolean ok = false;
             try (Http.Client client = new Http.Client(controller.publicAddress)) {
-                ok = client.call("GET", "/healthz", null, 500, 1000).status() == 200;
+                ok = !controller.cutOff && client.call("GET", "/healthz", null, 500, 1000).status() == 200;
             } catch (IOException e) {
                 // Not healthy.
             }
@@ -456,6 +456,35 @@
         }
     }
 
+    /** Cuts a zone off from everything, with its controller and its workers, or ends that. */
+    void cutZone(String zone, double seconds) {
+        int inside = zones.indexOf(zone);
+        setZoneCut(zone, inside, true);
+        for (Worker worker : workers) {
+            if (worker.zone.equals(zone)) {
+                worker.noOrdersUntil = now() + seconds;
+            }
+        }
+        users.schedule(
+                () -> setZoneCut(zone, inside, false),
+                (long) (seconds * 1000),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void setZoneCut(String zone, int inside, boolean isCut) {
+        state.setCut(inside, isCut);
+        controllers.get(inside).cutOff = isCut;
+        for (int i = 0; i < 3; i++) {
+            if (i != inside) {
+                Link.Mode mode = isCut ? Link.Mode.HOLD : Link.Mode.PASS;
+                link(i, inside).setMode(mode);
+                link(inside, i).setMode(mode);
+                cutWorkers(zone, i, isCut);
+                cutWorkers(zones.get(i), inside, isCut);
+            }
+        }
+    }
+
     private Controller pick() {
         List<Controller> healthy = new ArrayList<>();
         for (Controller controller : controllers) {
@@ -473,6 +502,10 @@
     Http.Reply ask(String method, String path, JsonNode body, int timeoutMillis) {
         for (int attempt = 0; attempt < 3; attempt++) {
             Controller controller = pick();
+            if (controller.cutOff) {
+                sleep(500);
+                continue;
+            }
             try (Http.Client client = new Http.Client(controller.publicAddress)) {
                 Http.Reply reply = client.call(method, path, body, 500, timeoutMillis);
                 log(
