--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -163,7 +163,9 @@
             } else if (task.state.equals("gathering")
                     && now > task.hasImageAt + world.gangWaitSeconds) {
                 exit(task, "alone");
-            } else if (task.state.equals("running") && now >= task.endsAt) {
+            } else if (task.state.equals("running")
+                    && now >= task.endsAt
+                    && world.isWhole(task)) {
                 exit(task, "done");
                 world.onDone(task);
             } else if (task.state.equals("running") && now >= task.peersAt) {
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -377,6 +377,21 @@
         }
     }
 
+    /** A gang gets on only while all its tasks do: none is gone, and no machine of theirs hangs. */
+    synchronized boolean isWhole(Worker.Task task) {
+        Gang gang = gangs.get(task.job.id + "#" + task.cast);
+        if (gang == null) {
+            return true;
+        }
+        for (Worker.Task member : gang.members) {
+            boolean finished = "done".equals(member.wreck);
+            if (!finished && (!member.present || member.worker.hangs())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private synchronized void watchGangs(double now) {
         for (Gang gang : gangs.values()) {
             if (!gang.started[0]) {
