--- a/review/standins-2/StateService.java
+++ b/review/standins-2/StateService.java
@@ -68,6 +68,12 @@
     volatile boolean lateAtOnce;
     volatile int latencyMillis = 3;
 
+    /** Which transactions take some hundred milliseconds before they are carried out; null: none. */
+    volatile java.util.function.Predicate<JsonNode> slow;
+
+    /** A slow transaction isn't carried out if the controller that sent it has ended by then. */
+    volatile java.util.function.IntPredicate sender = controller -> true;
+
     StateService(
             int controllers,
             double rps,
@@ -231,6 +237,12 @@
         String path = request.path();
         ObjectNode body = request.json();
         if (path.equals("/txn")) {
+            if (slow != null && slow.test(body)) {
+                sleep(400);
+                if (!sender.test(controller)) {
+                    return null;
+                }
+            }
             boolean late;
             synchronized (this) {
                 late = !isUnavailable(controller) && random.nextDouble() < lateShare;
