--- a/review/4/Case4.java
+++ b/review/4/Case4.java
@@ -3,13 +3,13 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /** All controllers are away for longer than a lease, just as a job has ended: is it ever called done? */
-final class Case5 extends Case {
+final class Case4 extends Case {
     private static final String JOB = "job-000001";
     private static final double AWAY_SECONDS = 13;
     private static final double WAIT_SECONDS = 75;
 
     public static void main(String[] arguments) throws Exception {
-        run(new Case5(), arguments);
+        run(new Case4(), arguments);
     }
 
     @Override
--- a/review/7/Case7.java
+++ b/review/7/Case7.java
@@ -2,13 +2,13 @@
 import java.util.List;
 
 /** Trainings that don't fit come several times as often for a while: what becomes of another team's work? */
-final class Case8 extends Case {
+final class Case7 extends Case {
     private static final double WAIT_SECONDS = 90;
     private static final double TRAINING_LIMIT_GPUS = 120;
     private static final double OTHER_LIMIT_GPUS = 8;
 
     public static void main(String[] arguments) throws Exception {
-        run(new Case8(), arguments);
+        run(new Case7(), arguments);
     }
 
     @Override
