Job ends: log what a new leader restored, and each write of an end

The controllers' logs could not tell whether the job was lost, its end was written and refused, or its end was never written: a new leader logged only how many jobs it has, and a write of an end left no line before it succeeded.

"jobs restored" has the jobs by state and those whose tasks are all done, "storing the end of a job" (debug) is each write, "end of a job not stored" its failure.

--- a/src/main/java/io/kelphoist/scheduler/SchedulerState.java
+++ b/src/main/java/io/kelphoist/scheduler/SchedulerState.java
@@ -27,6 +27,8 @@
 import io.kelphoist.scheduler.spi.SchedulerOutput;
 import java.util.Collection;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The scheduler of one leader's term: its jobs, its machines, and the task attempts that may run on
@@ -37,6 +39,8 @@
  * <p>Its state is in the components that {@link SchedulerComponents} connects.
  */
 public final class SchedulerState {
+    private static final Logger LOG = LoggerFactory.getLogger(SchedulerState.class);
+
     private final PromotionGate promotionGate;
     private final SchedulerComponents components;
     private final MachineRegistry machines;
@@ -220,6 +224,7 @@
             machine.contact().onResponsePossiblySent(nowSeconds);
         }
         components.jobRecordHandler.onRecordsLoaded();
+        JobSummary.of(jobs()).log(LOG, term());
     }
 
     /** Handles the outcome of {@link SchedulerOutput#storeProgress}. */
--- a/src/main/java/io/kelphoist/scheduler/jobrecords/JobEndWriter.java
+++ b/src/main/java/io/kelphoist/scheduler/jobrecords/JobEndWriter.java
@@ -4,12 +4,16 @@
 import io.kelphoist.scheduler.spi.SchedulerOutput;
 import it.unimi.dsi.fastutil.objects.ReferenceLinkedOpenHashSet;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Requests that the ends of jobs whose tasks are all done are stored. A request that failed or has
  * an unknown outcome is repeated until the state store has confirmed an end of the job.
  */
 public final class JobEndWriter {
+    private static final Logger LOG = LoggerFactory.getLogger(JobEndWriter.class);
+
     private final SchedulerOutput output;
     private final Set<Job> finishingJobs = new ReferenceLinkedOpenHashSet<>();
 
@@ -36,6 +40,10 @@
         }
         if (!job.endBeingStored()) {
             job.beginStoringEnd();
+            LOG.debug(
+                    "storing the end of a job: job={} recordVersion={}",
+                    job.spec().id(),
+                    job.recordVersion());
             output.storeDone(job.spec(), job.recordVersion());
         }
         return false;
--- a/src/main/java/io/kelphoist/scheduler/jobrecords/JobRecordHandler.java
+++ b/src/main/java/io/kelphoist/scheduler/jobrecords/JobRecordHandler.java
@@ -145,6 +145,10 @@
     public void onEndNotStored(String jobId) {
         Job job = jobs.get(jobId);
         if (job != null && job.endBeingStored()) {
+            LOG.info(
+                    "end of a job not stored, repeating the write: job={} state={}",
+                    jobId,
+                    job.state());
             job.onEndNotStored();
             jobDependencies.onCancellationNotStored(job);
         }
