Job ends are derived from the tasks that are done, not from the last exit

Cause: a job was set to FINISHING in one place alone, the handling of a task's exit. The record of an end and the page of done tasks are separate transactions; if the page is executed and the end is not, the next leader restores an active job without a task to run and without an attempt. No worker lists its exited tasks any more, so no exit follows, and nothing else ever looked at the job: JobReconciler takes done tasks as tracked.

Correction: JobEndWriter checks all jobs once a second, and at once after the records are loaded; an exit only makes it sooner. It does not matter how the last task became done, or what happened last: it also covers a job that becomes active after its tasks were restored. Stored progress is proof that the task is done, and the write of the end is conditional as before.

--- a/src/main/java/io/kelphoist/scheduler/SchedulerComponents.java
+++ b/src/main/java/io/kelphoist/scheduler/SchedulerComponents.java
@@ -80,7 +80,7 @@
                         context.attemptLifecycle(),
                         records.progress(),
                         output);
-        jobEndWriter = new JobEndWriter(output);
+        jobEndWriter = new JobEndWriter(jobs, output);
         jobReconciler = new JobReconciler(jobs, jobFactory);
         queueWaitTracker = new QueueWaitTracker(jobs);
         stateRecovery = new StateRecovery(context, records);
--- a/src/main/java/io/kelphoist/scheduler/SchedulerState.java
+++ b/src/main/java/io/kelphoist/scheduler/SchedulerState.java
@@ -341,7 +341,7 @@
      */
     public void tick(double nowSeconds) {
         components.leaseMonitor.run(nowSeconds);
-        components.jobEndWriter.storeDueEnds();
+        components.jobEndWriter.storeDueEnds(nowSeconds);
         if (promotionGate.maySchedule(nowSeconds)) {
             components.allocator.allocate(nowSeconds);
             components.autoscaler.scaleToDemand(components.allocator.unplacedJobs(), nowSeconds);
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/TaskAttemptHandler.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/TaskAttemptHandler.java
@@ -145,9 +145,7 @@
         if (exitReason != ExitReason.DONE) {
             stopBrokenGang(job, nowSeconds);
         }
-        if (job.isActive() && job.tasks().areAllDone()) {
-            jobEndWriter.onAllTasksDone(job);
-        }
+        jobEndWriter.onTaskExited(job);
     }
 
     private void onDone(TaskAttempt attempt) {
--- a/src/test/java/io/kelphoist/failover/FailoverSimulation.java
+++ b/src/test/java/io/kelphoist/failover/FailoverSimulation.java
@@ -40,6 +40,7 @@
     private final QueueWaitRecorder queueWaits = new QueueWaitRecorder();
     private final SimulationChecker checker;
     private final StateStoreSimulation store;
+    private final SimulatedStateStore stateStore;
     private final SimulatedFleet fleet;
     private final CommandCopies commandCopies;
     private final SimulatedNetwork network;
@@ -64,7 +65,7 @@
         context = new SimulationContext(seed, size);
         checker = new SimulationChecker(context, jobs, tasks, cancellations);
         store = new StateStoreSimulation(context.random().nextInt(), context.nowSeconds());
-        SimulatedStateStore stateStore = new SimulatedStateStore(context, jobs, checker, store);
+        stateStore = new SimulatedStateStore(context, jobs, checker, store);
         store.setChangeListener(stateStore::onStored);
         store.limitMutationRate(size.writesPerSecond());
         fleet = new SimulatedFleet(context, tasks, checker, queueWaits, store);
@@ -207,6 +208,31 @@
         leadership.setLostResponses(perTen);
     }
 
+    /** From now on, transactions are in flight until {@link #crashWithTransactionsInFlight}. */
+    void holdTransactions() {
+        stateStore.transactionsInFlight().hold();
+    }
+
+    /**
+     * The leader crashes while transactions are in flight. Each arrives at the state store within
+     * half a second, or never.
+     *
+     * @param subset the transaction sent as number i, from 0, arrives if bit i is set
+     * @param downSeconds time until the next leader begins, at least half a second
+     */
+    void crashWithTransactionsInFlight(
+            long subset, double downSeconds, Leadership.Handover handover) {
+        freezeLeader(Double.POSITIVE_INFINITY);
+        stateStore.transactionsInFlight().deliver(subset);
+        advance(downSeconds, /* delayedPerTen= */ 0);
+        failOver(handover);
+    }
+
+    /** Number of unfinished jobs whose tasks are all stored as done. */
+    int countJobsWithAllTasksStoredAsDone() {
+        return stateStore.countJobsWithAllTasksStoredAsDone();
+    }
+
     void setStateStoreUnavailable(boolean unavailable) {
         store.faults().setUnavailable(unavailable);
         leadership.setStateStoreUnavailable(unavailable);
--- a/src/test/java/io/kelphoist/failover/SimulatedStateStore.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedStateStore.java
@@ -4,6 +4,7 @@
 import io.kelphoist.model.JobRecord;
 import io.kelphoist.model.JobSpec;
 import io.kelphoist.model.JobStatus;
+import io.kelphoist.model.TaskProgress;
 import io.kelphoist.replication.RecordReplica;
 import io.kelphoist.statestore.GroupCommitter;
 import io.kelphoist.statestore.StateStoreSimulation;
@@ -12,7 +13,10 @@
 import io.kelphoist.statestore.protocol.StoredRecord;
 import io.kelphoist.wire.MalformedMessageException;
 import io.kelphoist.wire.MessageEncoding;
+import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** Typed access to the simulated state store. Each stored job record is checked. */
 final class SimulatedStateStore {
@@ -23,6 +27,7 @@
     private final SimulatedJobs jobs;
     private final SimulationChecker checker;
     private final StateStoreSimulation store;
+    private final TransactionsInFlight transactionsInFlight = new TransactionsInFlight();
 
     SimulatedStateStore(
             SimulationContext context,
@@ -39,10 +44,18 @@
         return store;
     }
 
+    /** The transactions of all controllers that have not arrived at the store. */
+    TransactionsInFlight transactionsInFlight() {
+        return transactionsInFlight;
+    }
+
     GroupCommitter createCommitter(StateStoreSimulation.View view) {
         SimulationSize size = context.size();
         return new GroupCommitter(
-                view, store, size.writesPerSecond() * WRITE_SHARE, size.operationsPerTransaction());
+                transactionsInFlight.writerTo(view),
+                store,
+                size.writesPerSecond() * WRITE_SHARE,
+                size.operationsPerTransaction());
     }
 
     /** Stores a new term and returns its revision. */
@@ -101,6 +114,25 @@
         return records;
     }
 
+    /** Number of unfinished jobs whose tasks are all stored as done. */
+    int countJobsWithAllTasksStoredAsDone() {
+        RecordReplica records = loadRecords();
+        Map<String, BitSet> doneTasks = new HashMap<>();
+        for (RecordReplica.Versioned<List<TaskProgress>> page : records.progressPages().values()) {
+            for (TaskProgress progress : page.value()) {
+                BitSet done = doneTasks.computeIfAbsent(progress.jobId(), id -> new BitSet());
+                progress.doneTasks().stream().forEach(i -> done.set(progress.firstTask() + i));
+            }
+        }
+        return (int)
+                records.unfinishedJobs().stream()
+                        .filter(
+                                job ->
+                                        doneTasks.getOrDefault(job.id(), new BitSet()).cardinality()
+                                                == job.spec().tasks())
+                        .count();
+    }
+
     private static JobRecord decodeJob(StateStoreSimulation.Item item) {
         try {
             return RecordCodec.decodeJob(
