Failover: a task that was started proves that its dependencies are done

What callers saw: at a change of leader, running tasks of a job that names others in "holdfast" are stopped without time to save, and start again. Results that arrive in the same moment are not stored, and the task runs again.

Cause: whether a listed task is needed, and whether its exit counts, is decided once, when the heartbeat arrives, by the state of its job at that moment. Until the ends of its dependencies are read the job is WAITING, and the task was taken as not needed.

Correction: a stored start, stored progress or a listed task makes a waiting job active, since a task is started only when all dependencies of its job are stored as done, and done is final. A dependency that is registered as unfinished counts for more: the version before chains starts dependents without regard to them, and such tasks are stopped as before. A job that is finishing can't become active again when the ends are read.

--- a/src/main/java/io/kelphoist/scheduler/SchedulerComponents.java
+++ b/src/main/java/io/kelphoist/scheduler/SchedulerComponents.java
@@ -83,7 +83,7 @@
         jobEndWriter = new JobEndWriter(jobs, output);
         jobReconciler = new JobReconciler(jobs, jobFactory);
         queueWaitTracker = new QueueWaitTracker(jobs);
-        stateRecovery = new StateRecovery(context, records);
+        stateRecovery = new StateRecovery(context, jobDependencies, records);
         BootTimeEstimator bootTimeEstimator = new BootTimeEstimator();
         senderResolver = new HeartbeatSenderResolver(term, catalog, context.machines());
         MachineProber prober = new MachineProber(promotionGate, output);
@@ -137,6 +137,7 @@
         AttemptReconciler attemptReconciler =
                 new AttemptReconciler(
                         context.jobs(),
+                        jobDependencies,
                         context.attemptLifecycle(),
                         attemptHandler,
                         context.machineLifecycle(),
--- a/src/main/java/io/kelphoist/scheduler/StateRecovery.java
+++ b/src/main/java/io/kelphoist/scheduler/StateRecovery.java
@@ -12,6 +12,7 @@
 import io.kelphoist.scheduler.cluster.MachineIdentity;
 import io.kelphoist.scheduler.cluster.MachineRegistry;
 import io.kelphoist.scheduler.cluster.TaskAttempt;
+import io.kelphoist.scheduler.jobrecords.JobDependencies;
 import io.kelphoist.scheduler.lifecycle.AttemptLifecycle;
 import io.kelphoist.scheduler.lifecycle.SchedulerContext;
 import io.kelphoist.scheduler.records.SchedulerRecords;
@@ -27,13 +28,16 @@
     private final MachineRegistry machines;
     private final JobRegistry jobs;
     private final AttemptLifecycle attempts;
+    private final JobDependencies jobDependencies;
     private final SchedulerRecords records;
 
-    StateRecovery(SchedulerContext context, SchedulerRecords records) {
+    StateRecovery(
+            SchedulerContext context, JobDependencies jobDependencies, SchedulerRecords records) {
         this.catalog = context.catalog();
         this.machines = context.machines();
         this.jobs = context.jobs();
         this.attempts = context.attemptLifecycle();
+        this.jobDependencies = jobDependencies;
         this.records = records;
     }
 
@@ -41,6 +45,7 @@
     void onProgressLoaded(int pageNumber, TaskProgress stored) {
         Job job = jobs.get(stored.jobId());
         if (job != null) {
+            jobDependencies.onTaskStartProven(job);
             job.tasks().restoreDone(stored.firstTask(), stored.doneTasks());
             records.progress().restore(pageNumber, job, stored.firstTask());
         }
@@ -66,7 +71,11 @@
     void onStartLoaded(int pageNumber, RecordedStart start, double nowSeconds) {
         Job job = jobs.get(start.task().jobId());
         int taskIndex = start.task().taskIndex();
-        if (job == null || taskIndex >= job.spec().tasks() || job.tasks().isDone(taskIndex)) {
+        if (job == null || taskIndex >= job.spec().tasks()) {
+            return;
+        }
+        jobDependencies.onTaskStartProven(job);
+        if (job.tasks().isDone(taskIndex)) {
             return;
         }
         Machine machine = machines.get(start.machineName());
--- a/src/main/java/io/kelphoist/scheduler/cluster/Job.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/Job.java
@@ -149,16 +149,13 @@
     }
 
     /**
-     * The only method that changes the state. DONE and CANCELLED are final, and a job that is being
-     * cancelled cannot become active. Once the job is no longer open, no task is pending. Returns
-     * whether the state changed.
+     * The only method that changes the state. DONE and CANCELLED are final, and a job that is
+     * finishing or being cancelled cannot become active. Once the job is no longer open, no task is
+     * pending. Returns whether the state changed.
      */
     public boolean transitionTo(State next) {
-        boolean isForbidden =
-                state == State.DONE
-                        || state == State.CANCELLED
-                        || (state == State.CANCELLING && next == State.ACTIVE);
-        if (state == next || isForbidden) {
+        boolean isReopened = next == State.ACTIVE && !isOpen();
+        if (state == next || state == State.DONE || state == State.CANCELLED || isReopened) {
             return false;
         }
         state = next;
--- a/src/main/java/io/kelphoist/scheduler/heartbeats/AttemptReconciler.java
+++ b/src/main/java/io/kelphoist/scheduler/heartbeats/AttemptReconciler.java
@@ -8,6 +8,7 @@
 import io.kelphoist.scheduler.cluster.JobRegistry;
 import io.kelphoist.scheduler.cluster.Machine;
 import io.kelphoist.scheduler.cluster.TaskAttempt;
+import io.kelphoist.scheduler.jobrecords.JobDependencies;
 import io.kelphoist.scheduler.lifecycle.AttemptLifecycle;
 import io.kelphoist.scheduler.lifecycle.MachineLifecycle;
 import io.kelphoist.scheduler.records.StartIntentLog;
@@ -24,6 +25,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(AttemptReconciler.class);
 
     private final JobRegistry jobs;
+    private final JobDependencies jobDependencies;
     private final AttemptLifecycle attempts;
     private final TaskAttemptHandler attemptHandler;
     private final MachineLifecycle machineLifecycle;
@@ -32,11 +34,13 @@
     /** Creates the reconciler of the task attempts of a term. */
     public AttemptReconciler(
             JobRegistry jobs,
+            JobDependencies jobDependencies,
             AttemptLifecycle attempts,
             TaskAttemptHandler attemptHandler,
             MachineLifecycle machineLifecycle,
             StartIntentLog startIntentLog) {
         this.jobs = jobs;
+        this.jobDependencies = jobDependencies;
         this.attempts = attempts;
         this.attemptHandler = attemptHandler;
         this.machineLifecycle = machineLifecycle;
@@ -138,6 +142,7 @@
         if (job == null || taskIndex >= job.spec().tasks()) {
             return null;
         }
+        jobDependencies.onTaskStartProven(job);
         TaskAttempt attempt =
                 new TaskAttempt(
                         job, taskIndex, taskStatus.attemptId(), machine, agentEpoch, nowSeconds);
--- a/src/main/java/io/kelphoist/scheduler/jobrecords/JobDependencies.java
+++ b/src/main/java/io/kelphoist/scheduler/jobrecords/JobDependencies.java
@@ -164,6 +164,27 @@
         }
     }
 
+    /**
+     * Handles the proof that a task of the job was started in an earlier term: because a task is
+     * started only when all dependencies of its job are stored as done, a waiting job becomes
+     * active although the ends of some dependencies are not known here. No effect if one of them is
+     * known not to have ended: the version before chains started jobs without regard to them.
+     */
+    public void onTaskStartProven(Job job) {
+        if (job.state() != Job.State.WAITING) {
+            return;
+        }
+        for (String dependencyId : job.spec().dependencies()) {
+            if (jobs.contains(dependencyId)) {
+                return;
+            }
+        }
+        job.transitionTo(Job.State.ACTIVE);
+        LOG.info(
+                "job ready because a task of it was started in an earlier term: job={}",
+                job.spec().id());
+    }
+
     /**
      * Whether the cancellation of the job was received and is still cached, even if the job itself
      * was never registered: a record older than the cancellation must not register it.
--- a/src/test/java/io/kelphoist/failover/FailoverSimulation.java
+++ b/src/test/java/io/kelphoist/failover/FailoverSimulation.java
@@ -5,6 +5,7 @@
 import io.kelphoist.model.Resources;
 import io.kelphoist.model.Team;
 import io.kelphoist.statestore.StateStoreSimulation;
+import java.util.Set;
 
 /**
  * Simulates successive leaders that schedule tasks on a few workers, in virtual time, with faults
@@ -208,6 +209,11 @@
         leadership.setLostResponses(perTen);
     }
 
+    /** From now on, new leaders know of no done job before they have read its record. */
+    void evictDoneJobs() {
+        stateStore.evictDoneJobs();
+    }
+
     /** From now on, transactions are in flight until {@link #crashWithTransactionsInFlight}. */
     void holdTransactions() {
         stateStore.transactionsInFlight().hold();
@@ -341,6 +347,10 @@
 
     // ---- results ----
 
+    Set<String> runningAttempts() {
+        return fleet.runningAttempts();
+    }
+
     int count(Counter counter) {
         return context.counters().get(counter);
     }
--- a/src/test/java/io/kelphoist/failover/SimulatedFleet.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedFleet.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The machines that exist for the whole run, the machines that leaders scale out, and the cloud
@@ -154,6 +156,16 @@
 
     // ---- tasks ----
 
+    /** Returns the attempts that run on all workers, each by its task and attempt id. */
+    Set<String> runningAttempts() {
+        Set<String> running = new TreeSet<>();
+        for (SimulatedWorker worker : workers) {
+            worker.attempts()
+                    .forEach((task, id) -> running.add(SimulatedTasks.attemptKey(task, id)));
+        }
+        return running;
+    }
+
     /** Finishes a task that runs on the worker. All tasks of a gang finish together. */
     void finishTaskOn(SimulatedWorker worker) {
         worker.attempts().keySet().stream()
--- a/src/test/java/io/kelphoist/failover/SimulatedStateStore.java
+++ b/src/test/java/io/kelphoist/failover/SimulatedStateStore.java
@@ -28,6 +28,7 @@
     private final SimulationChecker checker;
     private final StateStoreSimulation store;
     private final TransactionsInFlight transactionsInFlight = new TransactionsInFlight();
+    private boolean doneJobsEvicted;
 
     SimulatedStateStore(
             SimulationContext context,
@@ -44,6 +45,13 @@
         return store;
     }
 
+    /**
+     * From now on, leaders load no done jobs, as if more jobs had ended since than a replica keeps.
+     */
+    void evictDoneJobs() {
+        doneJobsEvicted = true;
+    }
+
     /** The transactions of all controllers that have not arrived at the store. */
     TransactionsInFlight transactionsInFlight() {
         return transactionsInFlight;
@@ -90,8 +98,10 @@
     /** Returns all records, as a leader loads them at the start of its term. */
     RecordReplica loadRecords() {
         RecordReplica records = new RecordReplica();
-        store.withPrefix(StateStoreKeys.JOBS_PREFIX)
-                .forEach(item -> records.applyJob(decodeJob(item), context.nowSeconds()));
+        store.withPrefix(StateStoreKeys.JOBS_PREFIX).stream()
+                .map(SimulatedStateStore::decodeJob)
+                .filter(job -> !doneJobsEvicted || job.status() != JobStatus.DONE)
+                .forEach(job -> records.applyJob(job, context.nowSeconds()));
         try {
             for (StateStoreSimulation.Item item :
                     store.withPrefix(StateStoreKeys.PROGRESS_PREFIX)) {
