Job: what is known of its record is a class of its own

The version of the record and the write of the end go to JobRecordState, and adding an unmet dependency is a method.

--- a/src/main/java/io/kelphoist/scheduler/cluster/Job.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/Job.java
@@ -10,7 +10,8 @@
 /**
  * A job that the leader schedules. It exists from when its record is received until its end (done
  * or cancelled) is stored and none of its attempts may be on a machine. Owns its state; parts of it
- * are in {@link JobTasks}, {@link JobUrgency}, {@link JobFailures} and {@link CapacityAcquisition}.
+ * are in {@link JobTasks}, {@link JobUrgency}, {@link JobFailures}, {@link CapacityAcquisition} and
+ * {@link JobRecordState}.
  */
 public final class Job {
     /** The states of a job; {@link #transitionTo} is the only method that changes it. */
@@ -45,14 +46,9 @@
     private final JobFailures failures = new JobFailures();
     private final CapacityAcquisition capacityAcquisition = new CapacityAcquisition();
     private final JobUrgency urgency;
+    private final JobRecordState recordState;
     private State state = State.WAITING;
 
-    /** The version of the newest record that was received. */
-    private long recordVersion;
-
-    /** A write of the job's end (done or cancelled) is in flight. */
-    private boolean endBeingStored;
-
     /** When its last dependency was done; without dependencies, when the job was accepted. */
     private double readyAtSeconds;
 
@@ -94,7 +90,7 @@
         }
         this.acceptedAtSeconds = acceptedAtSeconds;
         this.readyAtSeconds = acceptedAtSeconds;
-        this.recordVersion = record.version();
+        this.recordState = new JobRecordState(record.version());
         this.urgency = new JobUrgency(spec, acceptedAtSeconds);
         this.waitingSinceSeconds = nowSeconds;
     }
@@ -182,29 +178,9 @@
 
     // ---- record ----
 
-    /** The version of the newest record that was received. */
-    public long recordVersion() {
-        return recordVersion;
-    }
-
-    /** Sets the version of a newer record that was received. */
-    public void updateRecordVersion(long version) {
-        recordVersion = version;
-    }
-
-    /** Whether a write of its end was sent to the state store and has not returned an outcome. */
-    public boolean endBeingStored() {
-        return endBeingStored;
-    }
-
-    /** Called when a write of its end is sent to the state store. */
-    public void beginStoringEnd() {
-        endBeingStored = true;
-    }
-
-    /** Called when the write of its end failed or its outcome is unknown: it must be sent again. */
-    public void onEndNotStored() {
-        endBeingStored = false;
+    /** What is known of its record at the state store. */
+    public JobRecordState recordState() {
+        return recordState;
     }
 
     // ---- dependencies ----
--- a/src/main/java/io/kelphoist/scheduler/jobrecords/JobDependencies.java
+++ b/src/main/java/io/kelphoist/scheduler/jobrecords/JobDependencies.java
@@ -82,20 +82,7 @@
         for (String dependencyId : job.spec().dependencies()) {
             JobEnd end = endsByJobId.getIfPresent(dependencyId);
             if (end == null) {
-                job.addUnmetDependency();
-                dependentsByJobId
-                        .computeIfAbsent(
-                                dependencyId, ignoredId -> new ReferenceLinkedOpenHashSet<>())
-                        .add(job);
-                Job dependency = jobs.get(dependencyId);
-                if (dependency == null) {
-                    readDueAtSecondsByJobId.putIfAbsent(dependencyId, nowSeconds);
-                } else if (!isAcceptedBefore(dependency, job)) {
-                    LOG.error(
-                            "dependency accepted after its dependent, dependent keeps waiting: job={} dependency={}",
-                            job.spec().id(),
-                            dependencyId);
-                }
+                addUnmetDependency(job, dependencyId, nowSeconds);
             } else if (end.done) {
                 job.postponeReadyTime(end.storedAtSeconds);
             } else {
@@ -117,6 +104,22 @@
         }
     }
 
+    private void addUnmetDependency(Job job, String dependencyId, double nowSeconds) {
+        job.addUnmetDependency();
+        dependentsByJobId
+                .computeIfAbsent(dependencyId, ignoredId -> new ReferenceLinkedOpenHashSet<>())
+                .add(job);
+        Job dependency = jobs.get(dependencyId);
+        if (dependency == null) {
+            readDueAtSecondsByJobId.putIfAbsent(dependencyId, nowSeconds);
+        } else if (!isAcceptedBefore(dependency, job)) {
+            LOG.error(
+                    "dependency accepted after its dependent, dependent keeps waiting: job={} dependency={}",
+                    job.spec().id(),
+                    dependencyId);
+        }
+    }
+
     /**
      * Whether the dependency was accepted before its dependent, which holds for every submission.
      * Records that contradict this may form a cycle, so no urgency is passed on between their jobs.
@@ -139,7 +142,7 @@
         readDueAtSecondsByJobId.remove(jobId);
         Job job = jobs.get(jobId);
         if (job != null) {
-            if (cancellingJobs.remove(job) && job.endBeingStored()) {
+            if (cancellingJobs.remove(job) && job.recordState().isEndBeingStored()) {
                 cancellationsInFlight--;
             }
             removeDependent(job);
@@ -286,8 +289,8 @@
             if (cancellationsInFlight >= MAX_REQUESTS) {
                 break;
             }
-            if (!job.endBeingStored()) {
-                job.beginStoringEnd();
+            if (!job.recordState().isEndBeingStored()) {
+                job.recordState().beginStoringEnd();
                 cancellationsInFlight++;
                 output.storeCancelled(job.record());
             }
--- a/src/main/java/io/kelphoist/scheduler/jobrecords/JobEndWriter.java
+++ b/src/main/java/io/kelphoist/scheduler/jobrecords/JobEndWriter.java
@@ -72,13 +72,13 @@
         if (job.state() != Job.State.FINISHING) {
             return true;
         }
-        if (!job.endBeingStored()) {
-            job.beginStoringEnd();
+        if (!job.recordState().isEndBeingStored()) {
+            job.recordState().beginStoringEnd();
             LOG.debug(
                     "storing the end of a job: job={} recordVersion={}",
                     job.spec().id(),
-                    job.recordVersion());
-            output.storeDone(job.spec(), job.recordVersion());
+                    job.recordState().version());
+            output.storeDone(job.spec(), job.recordState().version());
         }
         return false;
     }
--- a/src/main/java/io/kelphoist/scheduler/jobrecords/JobRecordHandler.java
+++ b/src/main/java/io/kelphoist/scheduler/jobrecords/JobRecordHandler.java
@@ -64,8 +64,8 @@
         Job job = jobs.get(record.id());
         if (job == null) {
             onUnregisteredJob(record, nowSeconds - ageSeconds, nowSeconds);
-        } else if (record.version() >= job.recordVersion()) {
-            job.updateRecordVersion(record.version());
+        } else if (record.version() >= job.recordState().version()) {
+            job.recordState().onNewerVersion(record.version());
             onRegisteredJob(job, record, nowSeconds - ageSeconds, nowSeconds);
         }
     }
@@ -144,12 +144,12 @@
     /** Handles a write of a job's end that failed or has an unknown outcome: it is repeated. */
     public void onEndNotStored(String jobId) {
         Job job = jobs.get(jobId);
-        if (job != null && job.endBeingStored()) {
+        if (job != null && job.recordState().isEndBeingStored()) {
             LOG.info(
                     "end of a job not stored, repeating the write: job={} state={}",
                     jobId,
                     job.state());
-            job.onEndNotStored();
+            job.recordState().onEndNotStored();
             jobDependencies.onCancellationNotStored(job);
         }
     }
