Dependencies: the record of one that ended is read when its end isn't cached

What callers saw: a job that names a cancelled job in "holdfast" stays queued for ever after a change of leader, and with it all jobs that need it.

Cause: a dependency without a cached end got its record read only if it was not registered; of a registered one the end was expected as an event. While records are loaded, cancelled jobs are registered (their tasks may still be on machines), and their ends have been reported already. If more jobs ended after it than the scheduler caches (20,000; a replica keeps that many done jobs and, for 15 min after the controller started, all cancelled ones), the dependent waits for an event that has passed. The cancelled job is removed at the end of the load, and nobody looks again.

Correction: whether the record has to be read follows from the state of the dependency: it is not registered, or it has ended.

Found by reading, with the question of the fault before: which duty hangs on an event alone?

--- a/src/main/java/io/kelphoist/scheduler/cluster/Job.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/Job.java
@@ -151,7 +151,7 @@
      */
     public boolean transitionTo(State next) {
         boolean isReopened = next == State.ACTIVE && !isOpen();
-        if (state == next || state == State.DONE || state == State.CANCELLED || isReopened) {
+        if (state == next || hasEnded() || isReopened) {
             return false;
         }
         state = next;
@@ -171,6 +171,11 @@
         return state == State.ACTIVE || state == State.WAITING;
     }
 
+    /** Whether its end (done or cancelled) is stored. */
+    public boolean hasEnded() {
+        return state == State.DONE || state == State.CANCELLED;
+    }
+
     /** Whether its cancellation is stored or is being stored. */
     boolean isCancelled() {
         return state == State.CANCELLED || state == State.CANCELLING;
--- a/src/main/java/io/kelphoist/scheduler/cluster/JobRegistry.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/JobRegistry.java
@@ -36,8 +36,7 @@
 
     /** Removes a job if its end is stored and none of its attempts may be on a machine. */
     public void removeIfEnded(Job job) {
-        if (!job.tasks().hasAttempts()
-                && (job.state() == Job.State.DONE || job.state() == Job.State.CANCELLED)) {
+        if (!job.tasks().hasAttempts() && job.hasEnded()) {
             jobsById.remove(job.spec().id());
         }
     }
--- a/src/main/java/io/kelphoist/scheduler/jobrecords/JobDependencies.java
+++ b/src/main/java/io/kelphoist/scheduler/jobrecords/JobDependencies.java
@@ -58,7 +58,10 @@
     private final Object2ObjectOpenHashMap<String, Set<Job>> dependentsByJobId =
             new Object2ObjectOpenHashMap<>();
 
-    /** When to read the record of each dependency that is not registered and has no cached end. */
+    /**
+     * When to read the record of each dependency that is not registered as unfinished and has no
+     * cached end.
+     */
     private final Map<String, Double> readDueAtSecondsByJobId = new HashMap<>();
 
     /** Jobs whose cancellation is not stored yet. */
@@ -104,13 +107,17 @@
         }
     }
 
+    /**
+     * Adds a dependency whose end is not cached. Its record is read, unless the dependency is
+     * registered and its end will be received.
+     */
     private void addUnmetDependency(Job job, String dependencyId, double nowSeconds) {
         job.addUnmetDependency();
         dependentsByJobId
                 .computeIfAbsent(dependencyId, ignoredId -> new ReferenceLinkedOpenHashSet<>())
                 .add(job);
         Job dependency = jobs.get(dependencyId);
-        if (dependency == null) {
+        if (dependency == null || dependency.hasEnded()) {
             readDueAtSecondsByJobId.putIfAbsent(dependencyId, nowSeconds);
         } else if (!isAcceptedBefore(dependency, job)) {
             LOG.error(
