JobTasks counts its done tasks

Since the ends of jobs are derived from their tasks, all jobs are asked once a second whether all their tasks are done; counting bits each time touches two more objects a job. The allocator makes a pass over all jobs at each tick.

--- a/src/main/java/io/kelphoist/scheduler/cluster/JobTasks.java
+++ b/src/main/java/io/kelphoist/scheduler/cluster/JobTasks.java
@@ -15,6 +15,9 @@
     private final BitSet pending = new BitSet();
     private final BitSet done = new BitSet();
 
+    /** Number of bits of {@link #done}: counted, as all jobs are checked for it every second. */
+    private int doneCount;
+
     /** Done tasks whose completion is stored at the state store. */
     private final BitSet storedDone = new BitSet();
 
@@ -69,7 +72,7 @@
      * done and still has an attempt counts twice, and may hide one that is none of the three.
      */
     public boolean areAllTracked() {
-        return pending.cardinality() + attemptsByTask.size() + done.cardinality() >= taskCount;
+        return pending.cardinality() + attemptsByTask.size() + doneCount >= taskCount;
     }
 
     /**
@@ -101,23 +104,27 @@
 
     /** Number of tasks that are done. */
     int doneCount() {
-        return done.cardinality();
+        return doneCount;
     }
 
     /** Whether all tasks are done. */
     public boolean areAllDone() {
-        return done.cardinality() == taskCount;
+        return doneCount == taskCount;
     }
 
     /** Marks a task as done, so that it is not started again. */
     public void markDone(int taskIndex) {
-        done.set(taskIndex);
+        if (!done.get(taskIndex)) {
+            done.set(taskIndex);
+            doneCount++;
+        }
         pending.clear(taskIndex);
     }
 
     /** Marks all tasks as done. */
     public void markAllDone() {
         done.set(0, taskCount);
+        doneCount = taskCount;
         pending.clear();
     }
 
@@ -145,6 +152,7 @@
      */
     public void restoreDone(int firstTask, BitSet tasks) {
         tasks.stream().forEach(offset -> done.set(firstTask + offset));
+        doneCount = done.cardinality();
         pending.andNot(done);
         storedDone.or(done);
     }
