--- a/src/test/java/io/kelphoist/failover/CommandCopyTest.java
+++ b/src/test/java/io/kelphoist/failover/CommandCopyTest.java
@@ -18,16 +18,6 @@
     /** A longer run is started by hand with {@code -DcommandCopySeeds=N}. */
     private static final int SEEDS = Integer.getInteger("commandCopySeeds", 12);
 
-    /** All tasks of the initial jobs fit, so that a failed task runs elsewhere at once. */
-    private static final SimulationSize ROOM_FOR_ALL =
-            new SimulationSize(
-                    /* workers= */ 16,
-                    /* taskLimit= */ 30,
-                    /* withInitialJobs= */ true,
-                    /* writesPerSecond= */ 1e6,
-                    /* operationsPerTransaction= */ 48,
-                    /* responsesPerLoss= */ 3);
-
     /** What happens to the tasks between the command and its copy. */
     private enum Event {
         FAILED,
@@ -63,7 +53,10 @@
         for (long seed = 1; seed <= SEEDS; seed++) {
             FailoverSimulation simulation =
                     new FailoverSimulation(
-                            seed, /* maxStatusRequests= */ 2, ROOM_FOR_ALL, /* elected= */ false);
+                            seed,
+                            /* maxStatusRequests= */ 2,
+                            SimulationSize.ROOM_FOR_ALL,
+                            /* elected= */ false);
             simulation.advance(8, /* delayedPerTen= */ 0);
             simulation.failTask((int) seed);
             simulation.advance(6, /* delayedPerTen= */ 0);
--- a/src/test/java/io/kelphoist/failover/EvictedDependencyTest.java
+++ b/src/test/java/io/kelphoist/failover/EvictedDependencyTest.java
@@ -16,15 +16,6 @@
 class EvictedDependencyTest {
     private static final int SEEDS = 20;
 
-    private static final SimulationSize ROOM_FOR_ALL =
-            new SimulationSize(
-                    /* workers= */ 16,
-                    /* taskLimit= */ 30,
-                    /* withInitialJobs= */ true,
-                    /* writesPerSecond= */ 1e6,
-                    /* operationsPerTransaction= */ 48,
-                    /* responsesPerLoss= */ 20);
-
     @ParameterizedTest
     @EnumSource(
             value = Leadership.Handover.class,
@@ -50,9 +41,12 @@
     private static FailoverSimulation simulationWithRunningDependents(int seed) {
         FailoverSimulation simulation =
                 new FailoverSimulation(
-                        seed, /* maxStatusRequests= */ 2, ROOM_FOR_ALL, /* elected= */ false);
+                        seed,
+                        /* maxStatusRequests= */ 2,
+                        SimulationSize.ROOM_FOR_ALL,
+                        /* elected= */ false);
         simulation.advance(8, /* delayedPerTen= */ 0);
-        for (int i = 0; i < 2 * ROOM_FOR_ALL.workers(); i++) {
+        for (int i = 0; i < 2 * SimulationSize.ROOM_FOR_ALL.workers(); i++) {
             simulation.finishTask(seed + i);
         }
         simulation.advance(8, /* delayedPerTen= */ 0);
--- a/src/test/java/io/kelphoist/failover/SimulationSize.java
+++ b/src/test/java/io/kelphoist/failover/SimulationSize.java
@@ -25,4 +25,14 @@
                     /* writesPerSecond= */ 1e6,
                     /* operationsPerTransaction= */ 48,
                     /* responsesPerLoss= */ 3);
+
+    /** All tasks of the initial jobs run at the same time; a failed task runs elsewhere at once. */
+    static final SimulationSize ROOM_FOR_ALL =
+            new SimulationSize(
+                    /* workers= */ 16,
+                    /* taskLimit= */ 30,
+                    /* withInitialJobs= */ true,
+                    /* writesPerSecond= */ 1e6,
+                    /* operationsPerTransaction= */ 48,
+                    /* responsesPerLoss= */ 3);
 }
--- a/src/test/java/io/kelphoist/failover/StoredSubsetRecoveryTest.java
+++ b/src/test/java/io/kelphoist/failover/StoredSubsetRecoveryTest.java
@@ -22,16 +22,6 @@
     private static final double SHORT_DOWNTIME_SECONDS = 0.5;
     private static final double LONGER_THAN_A_LEASE_SECONDS = SimulationContext.LEASE_SECONDS + 3;
 
-    /** All tasks of the initial jobs run at the same time. */
-    private static final SimulationSize ROOM_FOR_ALL =
-            new SimulationSize(
-                    /* workers= */ 16,
-                    /* taskLimit= */ 30,
-                    /* withInitialJobs= */ true,
-                    /* writesPerSecond= */ 1e6,
-                    /* operationsPerTransaction= */ 48,
-                    /* responsesPerLoss= */ 20);
-
     /** What the next leader can still learn from the workers about tasks that have exited. */
     private enum Workers {
         LIST_EXITED_TASKS,
@@ -59,7 +49,7 @@
                         new FailoverSimulation(
                                 seed,
                                 /* maxStatusRequests= */ 2,
-                                ROOM_FOR_ALL,
+                                SimulationSize.ROOM_FOR_ALL,
                                 /* elected= */ false);
                 finishTasksWithTransactionsInFlight(simulation, (int) seed);
                 loseExitedTasks(simulation, workers);
@@ -86,7 +76,7 @@
         simulation.advance(1 + seed % 3, /* delayedPerTen= */ 0);
         simulation.replicateMachines();
         simulation.holdTransactions();
-        for (int i = 0; i < 2 * ROOM_FOR_ALL.workers(); i++) {
+        for (int i = 0; i < 2 * SimulationSize.ROOM_FOR_ALL.workers(); i++) {
             simulation.finishTask(seed + i);
         }
         if (seed % 2 == 0) {
@@ -96,7 +86,7 @@
     }
 
     private static void loseExitedTasks(FailoverSimulation simulation, Workers workers) {
-        for (int i = 0; i < ROOM_FOR_ALL.workers(); i++) {
+        for (int i = 0; i < SimulationSize.ROOM_FOR_ALL.workers(); i++) {
             if (workers == Workers.RESTARTED) {
                 simulation.restartWorker(i);
             } else if (workers == Workers.TERMINATED) {
