StoredSubsetRecoveryTest: a crashed leader sends nothing more, four in flight

Now the state store refuses what a crashed leader still sends, and all 16 subsets are played. Transactions are delivered to the store itself, so they need no target.

Stricter than before; no assertion changed.

--- a/src/test/java/io/kelphoist/failover/FailoverSimulation.java
+++ b/src/test/java/io/kelphoist/failover/FailoverSimulation.java
@@ -221,7 +221,7 @@
 
     /**
      * The leader crashes while transactions are in flight. Each arrives at the state store within
-     * half a second, or never.
+     * half a second, or never. Nothing that the leader still has queued arrives.
      *
      * @param subset the transaction sent as number i, from 0, arrives if bit i is set
      * @param downSeconds time until the next leader begins, at least half a second
@@ -229,7 +229,8 @@
     void crashWithTransactionsInFlight(
             long subset, double downSeconds, Leadership.Handover handover) {
         freezeLeader(Double.POSITIVE_INFINITY);
-        stateStore.transactionsInFlight().deliver(subset);
+        stateStore.transactionsInFlight().deliver(store, subset);
+        setLeaderRefusedByStore(true);
         advance(downSeconds, /* delayedPerTen= */ 0);
         failOver(handover);
     }
--- a/src/test/java/io/kelphoist/failover/StoredSubsetRecoveryTest.java
+++ b/src/test/java/io/kelphoist/failover/StoredSubsetRecoveryTest.java
@@ -16,8 +16,8 @@
     /** A longer run is started by hand with {@code -DstoredSubsetSeeds=N}. */
     private static final int SEEDS = Integer.getInteger("storedSubsetSeeds", 10);
 
-    /** Subsets of up to three transactions in flight, which is the most of one controller. */
-    private static final int SUBSETS = 8;
+    /** Subsets of up to four transactions in flight: three of the leader, and a user's. */
+    private static final int SUBSETS = 16;
 
     private static final double SHORT_DOWNTIME_SECONDS = 0.5;
     private static final double LONGER_THAN_A_LEASE_SECONDS = SimulationContext.LEASE_SECONDS + 3;
--- a/src/test/java/io/kelphoist/failover/TransactionsInFlight.java
+++ b/src/test/java/io/kelphoist/failover/TransactionsInFlight.java
@@ -13,10 +13,7 @@
  * response; then the test decides which of them arrive.
  */
 final class TransactionsInFlight {
-    private record Transaction(
-            StateStoreWriter target,
-            List<VersionCondition> conditions,
-            List<RecordMutation> mutations) {}
+    private record Transaction(List<VersionCondition> conditions, List<RecordMutation> mutations) {}
 
     private final List<Transaction> held = new ArrayList<>();
     private boolean holding;
@@ -32,7 +29,7 @@
             List<RecordMutation> mutations,
             Consumer<StateStoreResult<Long>> handler) {
         if (holding) {
-            held.add(new Transaction(target, conditions, mutations));
+            held.add(new Transaction(conditions, mutations));
         } else {
             target.commit(conditions, mutations, handler);
         }
@@ -47,15 +44,15 @@
      * Lets some of the held transactions arrive and drops the others. The senders get no response,
      * and from now on no transactions are held.
      *
+     * @param store the state store, which has received them whatever becomes of their senders
      * @param subset the transaction sent as number i, from 0, arrives if bit i is set
      */
-    void deliver(long subset) {
+    void deliver(StateStoreWriter store, long subset) {
         holding = false;
         for (int i = 0; i < held.size(); i++) {
             if ((subset >> i & 1) != 0) {
                 Transaction transaction = held.get(i);
-                transaction.target.commit(
-                        transaction.conditions, transaction.mutations, result -> {});
+                store.commit(transaction.conditions, transaction.mutations, result -> {});
             }
         }
         held.clear();
